--- /dev/null
+++ b/internal/claim/apply.go
@@ -0,0 +1,16 @@
+package claim
+
+import (
+	"context"
+
+	"github.com/pebbletrail/pebbletrail/internal/state"
+)
+
+// Apply writes other keys of the owner's, such as hire intents, under the same
+// condition as every owner write: that the generation still stands.
+func (c *Committer) Apply(ctx context.Context, ops []state.Op) error {
+	c.turn <- struct{}{}
+	defer func() { <-c.turn }()
+	_, err := c.State.Commit(ctx, state.Txn{When: []state.Cond{{Key: GenerationKey, Stamp: c.GenStamp}}, Then: ops}, state.Normal)
+	return err
+}
--- /dev/null
+++ b/internal/claim/book.go
@@ -0,0 +1,471 @@
+package claim
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/config"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/worker"
+)
+
+// Place is a task on, or perhaps on, a machine. It counts against quota and
+// room from before its marker is written until it is proven gone.
+type Place struct {
+	Job     *Job
+	Index   int
+	Machine ids.Machine
+	Session ids.Session
+	Attempt ids.Attempt
+	Token   ids.Generation // generation its start goes out under
+
+	version   uint64 // the job's version that first holds it
+	sent      bool   // a start may have gone out
+	beatOffer ids.Tick
+	offered   bool // a start went out in a beat answer
+	seen      bool // a report showed it
+	status    string
+	since     time.Time // placed
+	ranSince  time.Time // first seen running
+
+	stopping bool
+	leeway   ids.Seconds
+	stopAt   time.Time
+	stopSent time.Time
+	why      string
+}
+
+// Task is the task's name.
+func (p *Place) Task() ids.Task { return ids.Task{Job: p.Job.Rec.Spec.ID, Index: p.Index} }
+
+type retry struct {
+	fails int
+	at    time.Time
+	avoid map[ids.Machine]bool
+}
+
+type taskAttempt struct {
+	task    ids.Task
+	attempt ids.Attempt
+	machine ids.Machine
+}
+
+// Job is a job in the owner's memory.
+type Job struct {
+	Rec    Record
+	stamp  ids.Stamp
+	places map[int]*Place
+	tries  map[int]*retry
+	// version counts changes here; saved is the newest the store surely has.
+	version, saved uint64
+	settled        map[taskAttempt]uint64 // outcome -> version that holds it
+	ended          bool                   // its final record is stored
+	known          time.Time
+	waiting        string // why tasks wait now
+	guaranteed     bool   // lies within its team's guarantee
+	failedOn       map[ids.Machine]bool
+}
+
+func (j *Job) left() int { return j.Rec.Spec.Tasks - j.Rec.Finished.Len() }
+
+// claimable tells whether tasks of the job may be started.
+func (j *Job) claimable() bool {
+	return !j.ended && (j.Rec.Status == Queued || j.Rec.Status == Claimed) && j.left() > 0
+}
+
+func (j *Job) cancelled() bool { return j.Rec.Status == Cancelling || j.Rec.Status == Cancelled }
+
+// Book is everything the pool's owner knows: jobs, places and machines, under
+// one lock that is never held over a call.
+type Book struct {
+	mu     sync.Mutex
+	set    *config.Settings
+	writer string
+	gen    ids.Generation
+	jobs   map[ids.Job]*Job
+	gone   map[ids.Job]bool // jobs whose end this term has stored
+	goneQ  []ids.Job
+	roster *worker.Roster
+	on     map[ids.Machine]map[*Place]bool
+	teams  map[string]placement.Room // use per team, everything that may be there
+	types  map[string]*placement.Type
+	rng    *rand.Rand
+	// trustSilence is the earliest that an unheard machine's lapse counts: a
+	// predecessor may have gone on answering its worker until its own grace
+	// ended.
+	trustSilence time.Time
+	bump         bool // the generation should rise to turn late starts away
+	reserved     map[ids.Machine]reservation
+	warm         map[string]*warmth
+	lost         bool
+	sampled      time.Time
+	returned     map[ids.Machine]bool // deletions the cloud confirmed
+
+	wakeCommit, wakePlan chan struct{}
+}
+
+// NewBook makes the book of one term of ownership.
+func NewBook(set *config.Settings, writer string, gen ids.Generation, trustSilence time.Time) *Book {
+	return &Book{
+		set: set, writer: writer, gen: gen,
+		jobs: map[ids.Job]*Job{}, gone: map[ids.Job]bool{},
+		roster:       worker.NewRoster(set.Params.Workers.LeaseS),
+		on:           map[ids.Machine]map[*Place]bool{},
+		teams:        map[string]placement.Room{},
+		types:        map[string]*placement.Type{},
+		rng:          rand.New(rand.NewPCG(uint64(gen), uint64(len(writer)))),
+		trustSilence: trustSilence,
+		reserved:     map[ids.Machine]reservation{},
+		warm:         map[string]*warmth{},
+		returned:     map[ids.Machine]bool{},
+		wakeCommit:   make(chan struct{}, 1), wakePlan: make(chan struct{}, 1),
+	}
+}
+
+func poke(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// note appends to the job's trail, bounded.
+func (b *Book) note(j *Job, format string, args ...any) {
+	limit := int(b.set.Own.TrailEvents)
+	what := fmt.Sprintf(format, args...)
+	slog.Debug("job", "id", j.Rec.Spec.ID, "what", what)
+	if n := len(j.Rec.Trail); n > 0 && j.Rec.Trail[n-1].What == what {
+		j.Rec.Trail[n-1].At = ids.WallOf(time.Now())
+		return
+	}
+	j.Rec.Trail = append(j.Rec.Trail, Event{ids.WallOf(time.Now()), what})
+	if len(j.Rec.Trail) > limit {
+		j.Rec.Trail = append([]Event(nil), j.Rec.Trail[len(j.Rec.Trail)-limit:]...)
+	}
+}
+
+// touch marks a job as changed.
+func (b *Book) touch(j *Job) {
+	j.version++
+	if !j.Rec.Status.Over() && j.Rec.Status != Cancelling {
+		if len(j.places) > 0 {
+			j.Rec.Status = Claimed
+		} else {
+			j.Rec.Status = Queued
+		}
+	}
+	poke(b.wakeCommit)
+}
+
+func (b *Book) putPlace(p *Place) {
+	p.Job.places[p.Index] = p
+	if b.on[p.Machine] == nil {
+		b.on[p.Machine] = map[*Place]bool{}
+	}
+	b.on[p.Machine][p] = true
+	t := p.Job.Rec.Spec.Team
+	b.teams[t] = b.teams[t].Plus(p.Job.Rec.Spec.Need)
+}
+
+// dropPlace takes a place off the books: its task is proven not to be there.
+func (b *Book) dropPlace(p *Place) {
+	delete(p.Job.places, p.Index)
+	delete(b.on[p.Machine], p)
+	if len(b.on[p.Machine]) == 0 {
+		delete(b.on, p.Machine)
+		if m := b.roster.Machines[p.Machine]; m != nil {
+			m.IdleSince = time.Now()
+		}
+	}
+	t := p.Job.Rec.Spec.Team
+	b.teams[t] = b.teams[t].Minus(p.Job.Rec.Spec.Need)
+	if p.Job.ended && len(p.Job.places) == 0 {
+		delete(b.jobs, p.Job.Rec.Spec.ID)
+	}
+	poke(b.wakePlan)
+}
+
+// Load fills the book with the records found at a takeover. Their claims lapsed
+// with their owner; their places stay until a report, a lapse or the cloud says
+// what became of them.
+func (b *Book) Load(recs map[ids.Job]*Record, stamps map[ids.Job]ids.Stamp, at ids.Stamp, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	// News may have come before the list: what is not in it is kept only if it
+	// is newer than the list.
+	for id, j := range b.jobs {
+		if s, listed := stamps[id]; j.stamp <= at && !listed || listed && s > j.stamp {
+			for _, i := range sortedTasks(j.places) {
+				b.dropPlace(j.places[i])
+			}
+			delete(b.jobs, id)
+		}
+	}
+	for id, r := range recs {
+		if b.jobs[id] == nil {
+			b.addJob(r, stamps[id], now)
+		}
+	}
+	poke(b.wakePlan)
+	poke(b.wakeCommit)
+}
+
+func (b *Book) addJob(r *Record, stamp ids.Stamp, now time.Time) *Job {
+	j := &Job{Rec: *r, stamp: stamp, places: map[int]*Place{}, tries: map[int]*retry{},
+		settled: map[taskAttempt]uint64{}, failedOn: map[ids.Machine]bool{}, version: r.Seq, saved: r.Seq, known: now}
+	if j.version == 0 {
+		j.version, j.saved = 1, 1
+	}
+	b.jobs[r.Spec.ID] = j
+	for _, pr := range r.Places {
+		pr.Tasks.Each(func(i int) {
+			b.roster.Ensure(pr.Machine, now, b.trustSilence)
+			b.putPlace(&Place{Job: j, Index: i, Machine: pr.Machine, Session: pr.Session, Attempt: pr.Attempt,
+				Token: pr.Token, sent: true, since: now, stopping: j.cancelled(), why: "cancelled"})
+		})
+	}
+	j.Rec.Places = nil
+	b.finishIfOver(j)
+	return j
+}
+
+// Learn takes in what another controller wrote: a new job or a cancellation.
+// rec is nil when the live record went away.
+func (b *Book) Learn(id ids.Job, stamp ids.Stamp, rec *Record, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	j := b.jobs[id]
+	if j == nil {
+		if rec != nil && !b.gone[id] && !rec.Status.Over() {
+			b.addJob(rec, stamp, now)
+			poke(b.wakePlan)
+		}
+		return
+	}
+	if stamp <= j.stamp || rec != nil && rec.Writer == b.writer {
+		return // our own write; its answer or a read after it settles that
+	}
+	if rec == nil {
+		// Our own ending shows here too, as news that may outrun its answer.
+		// Another's ending is only written while no task is placed, and our
+		// next write on the job finds out.
+		if !j.Rec.Status.Over() && len(j.places) == 0 {
+			b.forget(j)
+		}
+		return
+	}
+	b.adopt(j, stamp, rec)
+}
+
+// adopt takes over another controller's write on a known job.
+func (b *Book) adopt(j *Job, stamp ids.Stamp, rec *Record) {
+	j.stamp = stamp
+	if rec.Status == Cancelling && !j.cancelled() {
+		// The user was told so. A completion that only this memory knows came
+		// too late: what is told first stands.
+		if j.Rec.Status == Done {
+			j.Rec.Status = Claimed
+		}
+		b.cancel(j)
+	}
+	b.touch(j)
+}
+
+// cancel stops everything of a job whose user was, or is about to be, told.
+func (b *Book) cancel(j *Job) {
+	if j.cancelled() || j.Rec.Status == Done {
+		return
+	}
+	j.Rec.Status = Cancelling
+	b.note(j, "cancelled by its user; %d tasks to stop", len(j.places))
+	for _, i := range sortedTasks(j.places) {
+		b.stop(j.places[i], 0, "cancelled")
+	}
+	b.finishIfOver(j)
+}
+
+// stop asks for a task to be stopped, or drops it if its start never went out.
+func (b *Book) stop(p *Place, leeway ids.Seconds, why string) {
+	if !p.sent {
+		b.dropPlace(p)
+		b.touch(p.Job)
+		return
+	}
+	if p.stopping && leeway >= p.leeway {
+		return
+	}
+	p.stopping, p.leeway, p.why, p.stopAt = true, leeway, why, time.Now()
+	if !p.seen && !p.offeredOnlyByBeat(b) && b.current(p) {
+		// A late start could yet begin it: raise the token so that the worker
+		// turns that away once it hears.
+		b.bump = true
+		poke(b.wakeCommit)
+	}
+	poke(b.wakePlan)
+}
+
+// current tells whether the place's start went out under this generation.
+func (b *Book) current(p *Place) bool { return p.Token == b.gen }
+
+// offeredOnlyByBeat tells that no direct start of the place is unaccounted for.
+func (p *Place) offeredOnlyByBeat(b *Book) bool {
+	m := b.roster.Machines[p.Machine]
+	return m != nil && b.current(p) && !m.MayRevive(p.Task().String(), p.Attempt)
+}
+
+// finishIfOver moves a job to its final status when nothing is left of it.
+func (b *Book) finishIfOver(j *Job) {
+	switch {
+	case j.Rec.Status.Over():
+	case j.left() == 0 && j.Rec.Status != Cancelling:
+		j.Rec.Status = Done
+		b.note(j, "done")
+		for _, i := range sortedTasks(j.places) {
+			if p := j.places[i]; p.sent {
+				p.stopping, p.why = true, "job done"
+			} else {
+				b.dropPlace(p)
+			}
+		}
+		b.touch(j)
+	case j.Rec.Status == Cancelling && len(j.places) == 0:
+		j.Rec.Status = Cancelled
+		b.note(j, "all tasks gone")
+		b.touch(j)
+	}
+}
+
+// forget drops a job whose end is stored. What may still be on machines stays
+// in the books until proven gone.
+func (b *Book) forget(j *Job) {
+	id := j.Rec.Spec.ID
+	j.ended = true
+	if len(j.places) == 0 {
+		delete(b.jobs, id)
+	}
+	if !b.gone[id] {
+		b.gone[id] = true
+		b.goneQ = append(b.goneQ, id)
+		if len(b.goneQ) > 20000 {
+			delete(b.gone, b.goneQ[0])
+			b.goneQ = b.goneQ[1:]
+		}
+	}
+}
+
+// SetTypes stores the cloud's offer.
+func (b *Book) SetTypes(ts []placement.Type) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range ts {
+		b.types[ts[i].Label] = &ts[i]
+	}
+}
+
+// Explain tells a job's trail and why its tasks wait, as the owner sees it.
+func (b *Book) Explain(id ids.Job) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	j := b.jobs[id]
+	if j == nil {
+		return nil
+	}
+	var out []string
+	if j.waiting != "" {
+		out = append(out, "waits: "+j.waiting)
+	}
+	now := time.Now()
+	for _, i := range sortedTasks(j.places) {
+		p := j.places[i]
+		st := p.status
+		switch {
+		case p.stopping && !p.seen:
+			st = "uncertain, to be stopped: " + p.why
+		case p.stopping:
+			st += ", stopping: " + p.why
+		case !p.sent:
+			st = "marked"
+		case !p.seen:
+			st = "start not confirmed"
+		}
+		zone, heard := "?", "not heard by this owner"
+		if m := b.roster.Machines[p.Machine]; m != nil && m.Heard {
+			zone, heard = m.Zone, fmt.Sprintf("heard %.1fs ago", m.Silent(now).Seconds())
+		}
+		out = append(out, fmt.Sprintf("task %d attempt %d on %s (%s, %s): %s", i, p.Attempt, p.Machine, zone, heard, st))
+		if len(out) > 200 {
+			return append(out, "…")
+		}
+	}
+	tries := make([]int, 0, len(j.tries))
+	for i := range j.tries {
+		tries = append(tries, i)
+	}
+	sort.Ints(tries)
+	for _, i := range tries {
+		if r := j.tries[i]; r.at.After(now) {
+			out = append(out, fmt.Sprintf("task %d failed %d times, tried again in %.1fs", i, r.fails, r.at.Sub(now).Seconds()))
+		}
+	}
+	return out
+}
+
+// Generation is the token that this owner's commands carry now.
+func (b *Book) Generation() ids.Generation {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.gen
+}
+
+// Close ends the book: nothing more is planned or sent from it.
+func (b *Book) Close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lost = true
+}
+
+// Trust moves the time from which silent workers' lapses count forward, once
+// no other controller can be answering them any more.
+func (b *Book) Trust(at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !at.Before(b.trustSilence) {
+		return
+	}
+	for _, m := range b.roster.Machines {
+		if !m.Heard && m.LapseAt.Equal(b.trustSilence) {
+			m.LapseAt = at
+		}
+	}
+	b.trustSilence = at
+}
+
+// Summary counts what the owner has, for operators.
+func (b *Book) Summary() map[string]any {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	heard, draining := 0, 0
+	for _, m := range b.roster.Machines {
+		if m.Heard {
+			heard++
+		}
+		if m.Draining != "" || !m.TakenAt.IsZero() {
+			draining++
+		}
+	}
+	waiting := map[string]int{}
+	places := 0
+	for _, j := range b.jobs {
+		places += len(j.places)
+		if j.waiting != "" {
+			waiting[j.waiting]++
+		}
+	}
+	return map[string]any{"generation": b.gen, "jobs": len(b.jobs), "placed": places, "machines": len(b.roster.Machines),
+		"heard": heard, "draining": draining, "waiting": waiting}
+}
--- /dev/null
+++ b/internal/claim/commit.go
@@ -0,0 +1,293 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"sort"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/state"
+)
+
+// generationRec is the value of pool/generation. It persists, so that the
+// number never falls.
+type generationRec struct {
+	Generation ids.Generation `json:"generation"`
+	Node       ids.Node       `json:"node"`
+	Writer     string         `json:"writer"`
+}
+
+// Committer writes the book's changes in groups, each conditional on the
+// generation's stamp and on every job's own, so that a superseded owner can
+// change nothing.
+type Committer struct {
+	Book     *Book
+	State    *state.Client
+	Node     ids.Node
+	GenStamp ids.Stamp
+	// OnLost is called once another owner is known to have taken over.
+	OnLost func(why string)
+	// OnGeneration is called when this owner raised its own generation.
+	OnGeneration func(ids.Generation)
+	// OnStored is called after each stored group: starts may go out.
+	OnStored func()
+	// turn lets one owner write go out at a time: each needs the generation's
+	// stamp, and raising it changes that.
+	turn chan struct{}
+}
+
+// NewCommitter makes the committer of one term.
+func NewCommitter(b *Book, s *state.Client, node ids.Node, stamp ids.Stamp) *Committer {
+	return &Committer{Book: b, State: s, Node: node, GenStamp: stamp, turn: make(chan struct{}, 1),
+		OnLost: func(string) {}}
+}
+
+type pending struct {
+	job     *Job
+	version uint64
+	over    bool
+	ops     []state.Op
+	conds   []state.Cond
+	size    int
+}
+
+// Run commits until the context ends.
+func (c *Committer) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.Book.wakeCommit:
+		case <-time.After(250 * time.Millisecond):
+		}
+		for ctx.Err() == nil && c.Step(ctx) {
+		}
+	}
+}
+
+// Step writes one group; more tells that there may be another.
+func (c *Committer) Step(ctx context.Context) (more bool) {
+	c.turn <- struct{}{}
+	defer func() { <-c.turn }()
+	b := c.Book
+	b.mu.Lock()
+	bump := b.bump
+	group := c.collect()
+	b.mu.Unlock()
+	if bump {
+		return c.raise(ctx)
+	}
+	if len(group) == 0 {
+		return false
+	}
+	txn := state.Txn{When: []state.Cond{{Key: GenerationKey, Stamp: c.GenStamp}}}
+	for _, p := range group {
+		txn.When = append(txn.When, p.conds...)
+		txn.Then = append(txn.Then, p.ops...)
+	}
+	epoch, err := c.State.Commit(ctx, txn, state.Urgent)
+	var conflict *state.Conflict
+	switch {
+	case err == nil:
+		b.mu.Lock()
+		for _, p := range group {
+			b.stored(p, ids.Stamp(epoch))
+		}
+		b.mu.Unlock()
+		if c.OnStored != nil {
+			c.OnStored()
+		}
+		return true
+	case errors.As(err, &conflict):
+		c.repair(ctx, conflict, group)
+		return true
+	case errors.Is(err, state.ErrMalformed):
+		slog.Error("the state service calls a commit malformed", "err", err, "ops", len(txn.Then))
+	default:
+		slog.Debug("commit not confirmed", "err", err)
+	}
+	// Refused or unknown: the same stamps are demanded again, so a late copy
+	// of this transaction and the next one exclude each other.
+	wait(ctx, 100*time.Millisecond)
+	return true
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// collect picks changed jobs, most urgent first, within the limits of one
+// transaction.
+func (c *Committer) collect() []pending {
+	b := c.Book
+	var dirty []*Job
+	for _, j := range b.jobs {
+		if j.version > j.saved && !j.ended {
+			dirty = append(dirty, j)
+		}
+	}
+	sort.Slice(dirty, func(x, y int) bool {
+		a, z := &dirty[x].Rec, &dirty[y].Rec
+		if a.Spec.Priority != z.Spec.Priority {
+			return a.Spec.Priority > z.Spec.Priority
+		}
+		return a.Spec.ID < z.Spec.ID
+	})
+	maxOps := min(b.set.Params.State.TxnOps, max(2, c.State.Budget().WriteBurst()))
+	limit := int(b.set.Params.State.ValueKB * 1024)
+	var group []pending
+	ops, size := 0, 256
+	for _, j := range dirty {
+		p := pending{job: j, version: j.version, over: j.Rec.Status.Over()}
+		rec := j.Rec
+		rec.Gen, rec.Writer, rec.Seq = b.gen, b.writer, j.version
+		if !p.over {
+			rec.Places = packPlaces(j.places)
+		}
+		raw, ok := rec.Encode(limit)
+		if !ok {
+			slog.Error("record too large to store", "job", j.Rec.Spec.ID)
+			continue
+		}
+		id := j.Rec.Spec.ID
+		p.conds = append(p.conds, state.Cond{Key: JobKey(id), Stamp: j.stamp})
+		if p.over {
+			p.conds = append(p.conds, state.Cond{Key: EndKey(id)})
+			p.ops = append(p.ops, state.Op{Remove: JobKey(id)}, state.Op{Put: EndKey(id), Value: raw})
+		} else {
+			p.ops = append(p.ops, state.Op{Put: JobKey(id), Value: raw})
+		}
+		p.size = len(raw) + 200
+		if ops+len(p.ops) > maxOps || size+p.size > 60*1024 {
+			break
+		}
+		ops, size = ops+len(p.ops), size+p.size
+		group = append(group, p)
+	}
+	return group
+}
+
+// stored takes in that a version is in the store.
+func (b *Book) stored(p pending, stamp ids.Stamp) {
+	j := p.job
+	j.stamp = stamp
+	j.saved = max(j.saved, p.version)
+	if p.over {
+		b.forget(j)
+	}
+}
+
+// raise lifts the generation while keeping the pool, so that workers turn away
+// whatever direct start is still under way.
+func (c *Committer) raise(ctx context.Context) bool {
+	b := c.Book
+	b.mu.Lock()
+	next := b.gen + 1
+	b.mu.Unlock()
+	raw, _ := json.Marshal(generationRec{next, c.Node, b.writer})
+	epoch, err := c.State.Commit(ctx, state.Txn{
+		When: []state.Cond{{Key: GenerationKey, Stamp: c.GenStamp}},
+		Then: []state.Op{{Put: GenerationKey, Value: raw}},
+	}, state.Urgent)
+	var conflict *state.Conflict
+	switch {
+	case err == nil:
+		c.raised(next, ids.Stamp(epoch))
+	case errors.As(err, &conflict):
+		c.repair(ctx, conflict, nil)
+	default:
+		wait(ctx, 100*time.Millisecond)
+	}
+	return true
+}
+
+func (c *Committer) raised(g ids.Generation, stamp ids.Stamp) {
+	b := c.Book
+	b.mu.Lock()
+	b.gen, b.bump = g, false
+	b.mu.Unlock()
+	c.GenStamp = stamp
+	slog.Info("generation raised to turn late starts away", "generation", g)
+	if c.OnGeneration != nil {
+		c.OnGeneration(g)
+	}
+}
+
+// repair reads back the keys whose conditions failed: either an answer was
+// lost and the change is ours, or another controller wrote.
+func (c *Committer) repair(ctx context.Context, conflict *state.Conflict, group []pending) {
+	b := c.Book
+	if conflict.Has(GenerationKey) {
+		e, found, err := c.State.Get(ctx, GenerationKey, state.Urgent)
+		if err != nil {
+			wait(ctx, 100*time.Millisecond)
+			return
+		}
+		var g generationRec
+		if found && json.Unmarshal(e.Value, &g) == nil && g.Writer == b.writer {
+			c.raised(g.Generation, e.Stamp)
+			return
+		}
+		c.OnLost("another owner raised the generation")
+		return
+	}
+	for _, p := range group {
+		id := p.job.Rec.Spec.ID
+		if !conflict.Has(JobKey(id)) && !conflict.Has(EndKey(id)) {
+			continue
+		}
+		live, found, err := c.State.Get(ctx, JobKey(id), state.Urgent)
+		if err != nil {
+			return
+		}
+		if found {
+			rec, err := Decode(live.Value)
+			if err != nil {
+				slog.Error("unreadable record", "job", id, "err", err)
+				return
+			}
+			b.mu.Lock()
+			if rec.Writer == b.writer {
+				p.job.stamp = live.Stamp
+				p.job.saved = max(p.job.saved, min(rec.Seq, p.job.version))
+			} else {
+				b.adopt(p.job, live.Stamp, rec)
+			}
+			b.mu.Unlock()
+			if c.OnStored != nil {
+				c.OnStored()
+			}
+			continue
+		}
+		_, found, err = c.State.Get(ctx, EndKey(id), state.Urgent)
+		if err != nil {
+			return
+		}
+		if !found {
+			slog.Error("a job's record is nowhere", "job", id)
+		}
+		b.mu.Lock()
+		b.endedElsewhere(p.job)
+		b.mu.Unlock()
+	}
+}
+
+// endedElsewhere drops a job whose end is stored already, by our own lost
+// answer or by a cancellation while nothing was placed.
+func (b *Book) endedElsewhere(j *Job) {
+	for _, i := range sortedTasks(j.places) {
+		p := j.places[i]
+		if !p.sent {
+			b.dropPlace(p)
+		} else if !p.stopping {
+			b.stop(p, 0, "job over")
+		}
+	}
+	b.forget(j)
+}
--- /dev/null
+++ b/internal/claim/needs.go
@@ -0,0 +1,267 @@
+package claim
+
+import (
+	"log/slog"
+	"math"
+	"sort"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/worker"
+)
+
+// warmth remembers how much a class of jobs used lately, so that room is kept
+// for work that must start sooner than a machine boots.
+type warmth struct {
+	ask      placement.Ask
+	spread   bool
+	critical bool
+	shape    Shape
+	want     []int // tasks wanted at once, one sample a second
+	at       time.Time
+	now      int
+	busy     int
+}
+
+const warmWindow = 120
+
+// sample notes once a second how much each class wants.
+func (b *Book) sample(now time.Time) {
+	if !b.sampled.IsZero() && now.Sub(b.sampled) < time.Second {
+		return
+	}
+	b.sampled = now
+	for _, w := range b.warm {
+		w.now, w.busy = 0, 0
+	}
+	for _, j := range b.jobs {
+		s := &j.Rec.Spec
+		w := b.warm[s.Class]
+		if w == nil {
+			w = &warmth{}
+			b.warm[s.Class] = w
+		}
+		w.ask, w.spread, w.critical, w.shape = s.Ask(), s.Spread, s.Priority == Critical, s.Shape
+		w.ask.Types, w.ask.Zone = s.Types, ""
+		w.busy += len(j.places)
+		if j.claimable() {
+			n := j.left()
+			if s.Shape == Array {
+				n = min(n, len(j.places)+b.quota(s, n))
+			}
+			w.now += n
+		}
+	}
+	for _, w := range b.warm {
+		if w.want = append(w.want, w.now); len(w.want) > warmWindow {
+			w.want = w.want[1:]
+		}
+	}
+}
+
+// Needs is what the fleet should provide, most important first, and what is
+// there.
+func (b *Book) Needs(now time.Time) (ds []placement.Demand, ups []placement.Up, types []*placement.Type) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range b.types {
+		types = append(types, t)
+	}
+	sort.Slice(types, func(x, y int) bool { return types[x].Label < types[y].Label })
+	for _, j := range b.ranked(now) {
+		if d, ok := b.demandOf(j, now); ok {
+			ds = append(ds, d)
+		}
+	}
+	ds = append(ds, b.keeps()...)
+	names := make([]string, 0, len(b.roster.Machines))
+	for n := range b.roster.Machines {
+		names = append(names, string(n))
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		m := b.roster.Machines[ids.Machine(n)]
+		t := b.types[m.Type]
+		if t == nil || m.Failed || m.Deleting || m.Draining != "" || !m.TakenAt.IsZero() {
+			continue
+		}
+		if m.Heard && !m.Usable(now, b.set.Params.Workers.ReportS) {
+			continue
+		}
+		u := placement.Up{Name: m.Name, Type: t, Zone: m.Zone, Spot: m.Spot, Coming: !m.Heard,
+			Free: t.Room().Minus(b.usedOn(m.Name)), Idle: len(b.on[m.Name]) == 0 && m.Heard}
+		for p := range b.on[m.Name] {
+			if p.Job.Rec.Spec.Shape == Array {
+				u.Turn = u.Turn.Plus(p.Job.Rec.Spec.Need)
+			}
+		}
+		ups = append(ups, u)
+	}
+	return ds, ups, types
+}
+
+// horizon is the time within which queued work should get its turn; a queue
+// that the machines at hand work off sooner needs no new ones.
+func horizon(j *Job) float64 {
+	if j.guaranteed || j.Rec.Spec.Priority >= High {
+		return 10
+	}
+	return 40
+}
+
+func (b *Book) demandOf(j *Job, now time.Time) (placement.Demand, bool) {
+	s := &j.Rec.Spec
+	n := j.left() - len(j.places)
+	n = min(n, b.quota(s, max(n, 0)))
+	if n <= 0 {
+		return placement.Demand{}, false
+	}
+	if s.Shape == Array && s.Estimate > 0 {
+		n = int(math.Ceil(float64(n) * min(1, float64(s.Estimate)/horizon(j))))
+	}
+	return placement.Demand{Ask: s.Ask(), Count: n, Spread: s.Spread, Preempt: s.Priority >= High}, true
+}
+
+// keeps is the room to hold free: some for critical work, and as much as they
+// lately wanted for classes that are to start sooner than a machine boots.
+func (b *Book) keeps() []placement.Demand {
+	var ds []placement.Demand
+	classes := make([]string, 0, len(b.warm))
+	for c := range b.warm {
+		classes = append(classes, c)
+	}
+	sort.Strings(classes)
+	for _, c := range classes {
+		w := b.warm[c]
+		if w.critical {
+			n := max(1, int(math.Ceil(b.set.Own.SpareShare*float64(w.busy))))
+			ds = append(ds, placement.Demand{Ask: w.ask, Count: n, Spread: true, Keep: true, Preempt: true})
+			continue
+		}
+		if !b.startsSoon(c, w) {
+			continue
+		}
+		peak := 0
+		for _, n := range w.want {
+			peak = max(peak, n)
+		}
+		if n := peak - max(w.busy, w.now); n > 0 {
+			ds = append(ds, placement.Demand{Ask: w.ask, Count: n, Keep: true, Preempt: w.shape == Gang})
+		}
+	}
+	return ds
+}
+
+// startsSoon tells whether a class is to start before a hired machine could be
+// up with its image.
+func (b *Book) startsSoon(class string, w *warmth) bool {
+	slowest := math.Inf(1)
+	for _, t := range b.types {
+		if t.Room().Holds(w.ask.Need) && (w.ask.Types == nil || w.ask.Allows(t.Label, w.ask.Zone, false)) {
+			slowest = min(slowest, float64(t.BootS)+w.ask.ImageGB/max(t.PullGBPerS, 0.01))
+		}
+	}
+	for _, o := range b.set.Params.Objectives {
+		if o.Kind == "wait" && o.Class == class && float64(o.WithinS) < slowest {
+			return true
+		}
+	}
+	return false
+}
+
+// Hired notes machines just rented.
+func (b *Book) Hired(names []ids.Machine, h placement.Hire, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range names {
+		m := b.roster.Ensure(n, now, b.trustSilence)
+		if !m.Heard {
+			m.Type, m.Zone, m.Spot, m.Booting = h.Type, h.Zone, h.Spot, true
+		}
+	}
+}
+
+// Listed is one machine of the cloud's list.
+type Listed struct {
+	Name   ids.Machine `json:"uid"`
+	Addr   string      `json:"endpoint"`
+	Type   string      `json:"build"`
+	Zone   string      `json:"yard"`
+	Spot   bool        `json:"loaners"`
+	Status string      `json:"status"`
+	Held   ids.Seconds `json:"heldS"`
+}
+
+// List takes in the cloud's list. It lags, so that absence proves nothing and
+// only what it says outright counts.
+func (b *Book) List(ls []Listed, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range ls {
+		l := &ls[i]
+		if b.returned[l.Name] {
+			continue // the list is older than its deletion
+		}
+		m := b.roster.Ensure(l.Name, now, b.trustSilence)
+		if !m.Heard {
+			m.Type, m.Zone, m.Spot = l.Type, l.Zone, l.Spot
+			m.Booting = l.Status == "booting"
+		}
+		m.HeldSince = now.Add(-l.Held.Duration())
+		m.Failed = m.Failed || l.Status == "failed"
+	}
+}
+
+// Returns picks the machines to delete now, and marks them so that nothing
+// more is placed there.
+func (b *Book) Returns(now time.Time, needed map[ids.Machine]bool) []ids.Machine {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	silentAfter := 3*b.set.Params.Workers.ReportS.Duration() + 4*time.Second
+	heard, silent := 0, 0
+	for _, m := range b.roster.Machines {
+		if m.Heard {
+			heard++
+			if m.Silent(now) > silentAfter {
+				silent++
+			}
+		}
+	}
+	// Many silent machines at once mean that this node is cut off, not they.
+	fewSilent := silent <= max(1, heard/3)
+	var out []ids.Machine
+	for _, m := range b.roster.Machines {
+		if why := b.whyReturn(m, now, silentAfter, fewSilent, needed); why != "" || m.Deleting {
+			if !m.Deleting {
+				slog.Info("machine returned", "machine", m.Name, "type", m.Type, "spot", m.Spot, "why", why)
+				m.Deleting = true
+			}
+			out = append(out, m.Name)
+		}
+	}
+	sort.Slice(out, func(x, y int) bool { return out[x] < out[y] })
+	return out
+}
+
+func (b *Book) whyReturn(m *worker.Machine, now time.Time, silentAfter time.Duration, fewSilent bool, needed map[ids.Machine]bool) string {
+	empty := len(b.on[m.Name]) == 0
+	t := b.types[m.Type]
+	switch {
+	case m.Failed:
+		return "it stopped by itself"
+	case !m.TakenAt.IsZero() && (now.After(m.TakenAt) || empty):
+		return "the cloud takes it back"
+	case m.Draining != "" && empty:
+		return m.Draining
+	case m.Heard && m.Silent(now) > silentAfter && fewSilent:
+		return "silent"
+	case !m.Heard && m.Booting && t != nil && now.Sub(m.HeldSince) > time.Duration(b.set.Own.StuckBootFactor*float64(t.BootS.Duration())):
+		return "it does not come up"
+	case !m.Heard && !m.Booting && now.Sub(m.Born) > 2*silentAfter && fewSilent:
+		return "up but never heard"
+	case m.Heard && empty && !needed[m.Name] && now.Sub(m.IdleSince).Seconds() > b.set.Own.IdleReturnS && now.Sub(m.HeldSince) > time.Minute:
+		return "idle"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/claim/pool.go
@@ -0,0 +1,430 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/config"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/state"
+	"github.com/pebbletrail/pebbletrail/internal/worker"
+)
+
+// ownerRec is the value of pool/owner; the key is attached to the hold, so it
+// goes away when its owner stops renewing.
+type ownerRec struct {
+	Node       ids.Node       `json:"node"`
+	Writer     string         `json:"writer"`
+	Hold       ids.Hold       `json:"hold"`
+	Generation ids.Generation `json:"generation"`
+}
+
+// Peers is what the pool asks of the other controllers.
+type Peers interface {
+	// AllStopped asks every other controller to confirm that it answers no
+	// beats under an older generation; it is true once all have.
+	AllStopped(ctx context.Context, gen ids.Generation) bool
+}
+
+// Term is one spell of owning the pool.
+type Term struct {
+	Gen        ids.Generation
+	Book       *Book
+	Committer  *Committer
+	Dispatcher *Dispatcher
+	Intents    []state.Entry
+	hold       ids.Hold
+	renewed    time.Time // when the last good renewal was sent
+	loaded     chan struct{}
+	cancel     context.CancelFunc
+	done       sync.WaitGroup
+}
+
+// Pool is this controller's part in owning the machine pool.
+type Pool struct {
+	Set       *config.Settings
+	State     *state.Client
+	Commander *worker.Commander
+	Peers     Peers
+	// OnTerm starts what else runs during a term, such as the fleet's keeper.
+	OnTerm func(ctx context.Context, t *Term)
+
+	incarnation string
+	mirror      *state.Mirror
+	jobs        *state.Mirror
+
+	mu      sync.Mutex
+	term    *Term
+	resting time.Time // no campaign before
+	reached map[ids.Machine]time.Time
+}
+
+// NewPool makes the pool's client; incarnation tells this process from its
+// node's earlier ones.
+func NewPool(set *config.Settings, c *state.Client, cmd *worker.Commander, incarnation string) *Pool {
+	p := &Pool{Set: set, State: c, Commander: cmd, incarnation: incarnation, reached: map[ids.Machine]time.Time{}}
+	p.mirror = state.NewMirror(c, PoolPrefix, 50*time.Millisecond)
+	p.jobs = state.NewMirror(c, JobPrefix, 250*time.Millisecond)
+	p.jobs.OnChange = func(ch state.Change) {
+		id := ids.Job(strings.TrimPrefix(ch.Key(), JobPrefix))
+		if ch.Put == "" {
+			p.Learn(id, ch.Stamp, nil)
+			return
+		}
+		if p.Book() == nil {
+			return
+		}
+		if rec, err := Decode(ch.Value); err == nil {
+			p.Learn(id, ch.Stamp, rec)
+		}
+	}
+	return p
+}
+
+// Run takes part until the context ends.
+func (p *Pool) Run(ctx context.Context) {
+	go p.mirror.Run(ctx)
+	go p.jobs.Run(ctx)
+	life := time.Duration(p.Set.Own.PoolHoldMs) * time.Millisecond
+	for ctx.Err() == nil {
+		if t := p.current(); t != nil {
+			p.keep(ctx, t)
+			wait(ctx, life/4)
+			continue
+		}
+		if p.vacant() {
+			if err := p.campaign(ctx, life); err != nil {
+				slog.Debug("campaign failed", "err", err)
+				wait(ctx, 200*time.Millisecond)
+			}
+			continue
+		}
+		wait(ctx, 50*time.Millisecond)
+	}
+}
+
+func (p *Pool) current() *Term {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.term
+}
+
+// Book is the book of the present term, if this node owns the pool.
+func (p *Pool) Book() *Book {
+	if t := p.current(); t != nil {
+		return t.Book
+	}
+	return nil
+}
+
+// Owner is who owns the pool as far as this node knows.
+func (p *Pool) Owner() (ids.Node, bool) {
+	if p.current() != nil {
+		return p.Set.HostName, true
+	}
+	e, found, ready := p.mirror.Get(OwnerKey)
+	if !ready || !found {
+		return "", false
+	}
+	var o ownerRec
+	if json.Unmarshal(e.Value, &o) != nil || o.Node == p.Set.HostName {
+		return "", false
+	}
+	return o.Node, true
+}
+
+// Types reads the machine types that an owner has stored.
+func (p *Pool) Types() []placement.Type {
+	e, found, _ := p.mirror.Get(TypesKey)
+	if !found {
+		return nil
+	}
+	var ts []placement.Type
+	if json.Unmarshal(e.Value, &ts) != nil {
+		return nil
+	}
+	return ts
+}
+
+// vacant tells whether the pool looks free, or held by a dead predecessor of
+// this very node.
+func (p *Pool) vacant() bool {
+	p.mu.Lock()
+	resting := time.Now().Before(p.resting)
+	p.mu.Unlock()
+	e, found, ready := p.mirror.Get(OwnerKey)
+	if !ready || resting {
+		return false
+	}
+	if !found {
+		return true
+	}
+	var o ownerRec
+	return json.Unmarshal(e.Value, &o) == nil && o.Node == p.Set.HostName
+}
+
+// campaign tries to take the pool over.
+func (p *Pool) campaign(ctx context.Context, life time.Duration) error {
+	cur, found, err := p.State.Get(ctx, OwnerKey, state.Urgent)
+	if err != nil {
+		return err
+	}
+	if found {
+		var o ownerRec
+		if err := json.Unmarshal(cur.Value, &o); err != nil {
+			return err
+		}
+		if o.Node != p.Set.HostName {
+			wait(ctx, 100*time.Millisecond) // the mirror is behind
+			return errors.New("owned by " + string(o.Node))
+		}
+		// Only one process runs on a node: this hold's owner is dead, or an
+		// earlier term of ours whose answer got lost.
+		slog.Info("ending the hold of this node's earlier life", "writer", o.Writer)
+		if err := p.State.End(ctx, o.Hold); err != nil && !errors.Is(err, state.ErrNoHold) {
+			return err
+		}
+	}
+	var prev generationRec
+	ge, found, err := p.State.Get(ctx, GenerationKey, state.Urgent)
+	if err != nil {
+		return err
+	}
+	if found {
+		if err := json.Unmarshal(ge.Value, &prev); err != nil {
+			return err
+		}
+	}
+	sent := time.Now()
+	hold, err := p.State.NewHold(ctx, life)
+	if err != nil {
+		return err
+	}
+	gen := prev.Generation + 1
+	writer := fmt.Sprintf("%s/%d", p.incarnation, gen)
+	oraw, _ := json.Marshal(ownerRec{p.Set.HostName, writer, hold, gen})
+	graw, _ := json.Marshal(generationRec{gen, p.Set.HostName, writer})
+	epoch, err := p.State.Commit(ctx, state.Txn{
+		When: []state.Cond{{Key: OwnerKey}, {Key: GenerationKey, Stamp: ge.Stamp}},
+		Then: []state.Op{{Put: OwnerKey, Value: oraw, Hold: hold}, {Put: GenerationKey, Value: graw}},
+	}, state.Urgent)
+	if errors.Is(err, state.ErrUnknown) {
+		// Read back what became of it.
+		e, found, rerr := p.State.Get(ctx, GenerationKey, state.Urgent)
+		var g generationRec
+		if rerr == nil && found && json.Unmarshal(e.Value, &g) == nil && g.Writer == writer {
+			epoch, err = ids.Epoch(e.Stamp), nil
+		}
+	}
+	if err != nil {
+		return err
+	}
+	p.begin(ctx, gen, writer, hold, ids.Stamp(epoch), sent)
+	return nil
+}
+
+// begin starts a term.
+func (p *Pool) begin(ctx context.Context, gen ids.Generation, writer string, hold ids.Hold, stamp ids.Stamp, sent time.Time) {
+	now := time.Now()
+	w := &p.Set.Params.Workers
+	trust := now.Add(ids.Seconds(p.Set.Own.BeatGraceS).Drifted() + w.LeaseS.Drifted())
+	b := NewBook(p.Set, writer, gen, trust)
+	tctx, cancel := context.WithCancel(ctx)
+	t := &Term{Gen: gen, Book: b, hold: hold, renewed: sent, loaded: make(chan struct{}), cancel: cancel}
+	t.Committer = NewCommitter(b, p.State, p.Set.HostName, stamp)
+	t.Dispatcher = NewDispatcher(b, p.Commander, max(4, min(64, p.Set.Params.Limits.MaxSockets/8)))
+	t.Committer.OnLost = func(why string) { go p.stepDown(t, why) }
+	t.Committer.OnStored = t.Dispatcher.Wake
+	p.State.Budget().SetOwner(true)
+	p.mu.Lock()
+	p.term = t
+	p.mu.Unlock()
+	slog.Info("took the machine pool over", "generation", gen)
+	t.done.Add(1)
+	go func() {
+		defer t.done.Done()
+		if p.load(tctx, t) {
+			p.runTerm(tctx, t)
+		}
+	}()
+	go p.confirmStopped(tctx, t)
+}
+
+// load reads every live record; the takeover's commit keeps older owners from
+// changing any of them.
+func (p *Pool) load(ctx context.Context, t *Term) bool {
+	for ctx.Err() == nil {
+		jobs, epoch, err := p.State.ListAll(ctx, JobPrefix, state.Urgent)
+		if err == nil {
+			t.Intents, _, err = p.State.ListAll(ctx, HirePrefix, state.Urgent)
+		}
+		if err != nil {
+			wait(ctx, 100*time.Millisecond)
+			continue
+		}
+		recs, stamps := map[ids.Job]*Record{}, map[ids.Job]ids.Stamp{}
+		for _, e := range jobs {
+			rec, err := Decode(e.Value)
+			if err != nil {
+				slog.Error("unreadable record", "key", e.Key, "err", err)
+				continue
+			}
+			recs[rec.Spec.ID], stamps[rec.Spec.ID] = rec, e.Stamp
+		}
+		t.Book.Load(recs, stamps, ids.Stamp(epoch), time.Now())
+		close(t.loaded)
+		slog.Info("records loaded", "jobs", len(recs), "hires", len(t.Intents))
+		return true
+	}
+	return false
+}
+
+func (p *Pool) runTerm(ctx context.Context, t *Term) {
+	run := func(f func(context.Context)) {
+		t.done.Add(1)
+		go func() { defer t.done.Done(); f(ctx) }()
+	}
+	run(t.Committer.Run)
+	run(t.Dispatcher.Run)
+	run(t.plan)
+	if p.OnTerm != nil {
+		run(func(ctx context.Context) { p.OnTerm(ctx, t) })
+	}
+}
+
+// plan claims whenever something changed, at a bounded pace.
+func (t *Term) plan(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.Book.wakePlan:
+		case <-time.After(500 * time.Millisecond):
+		}
+		now := time.Now()
+		t.Book.Lapses(now)
+		t.Book.Plan(now)
+		t.Dispatcher.Wake()
+		wait(ctx, 25*time.Millisecond)
+	}
+}
+
+// keep renews the hold and ends the term when it is surely lost.
+func (p *Pool) keep(ctx context.Context, t *Term) {
+	sent := time.Now()
+	err := p.State.Renew(ctx, t.hold)
+	switch {
+	case err == nil:
+		p.mu.Lock()
+		t.renewed = sent
+		p.mu.Unlock()
+	case errors.Is(err, state.ErrNoHold):
+		p.stepDown(t, "its hold ended")
+	default:
+		slog.Debug("renewal failed", "err", err)
+	}
+	if e, found, ready := p.mirror.Get(GenerationKey); ready && found {
+		var g generationRec
+		if json.Unmarshal(e.Value, &g) == nil && g.Generation > t.Book.Generation() && !strings.HasPrefix(g.Writer, p.incarnation+"/") {
+			p.stepDown(t, "another owner raised the generation")
+		}
+	}
+}
+
+func (p *Pool) stepDown(t *Term, why string) {
+	p.mu.Lock()
+	if p.term != t {
+		p.mu.Unlock()
+		return
+	}
+	p.term = nil
+	p.mu.Unlock()
+	slog.Info("gave the machine pool up", "generation", t.Gen, "why", why)
+	t.Book.Close()
+	t.cancel()
+	p.State.Budget().SetOwner(false)
+}
+
+// Superseded is told by a peer of a higher generation; the answer confirms
+// that this node answers no beats under an older one.
+func (p *Pool) Superseded(gen ids.Generation) bool {
+	if t := p.current(); t != nil {
+		if t.Book.Generation() >= gen {
+			return false
+		}
+		p.stepDown(t, "a peer owns a higher generation")
+	}
+	return true
+}
+
+// confirmStopped shortens the wait for silent workers' lapses once every other
+// controller says that it has stopped answering.
+func (p *Pool) confirmStopped(ctx context.Context, t *Term) {
+	for ctx.Err() == nil {
+		if p.Peers == nil {
+			return
+		}
+		if p.Peers.AllStopped(ctx, t.Gen) {
+			now := time.Now()
+			t.Book.Trust(now.Add(p.Set.Params.Workers.LeaseS.Drifted()))
+			return
+		}
+		wait(ctx, 500*time.Millisecond)
+	}
+}
+
+// Learn passes on what another controller wrote, if this node owns the pool.
+func (p *Pool) Learn(id ids.Job, stamp ids.Stamp, rec *Record) {
+	if b := p.Book(); b != nil {
+		b.Learn(id, stamp, rec, time.Now())
+	}
+}
+
+// entitled tells whether this node may still answer beats: a successor trusts
+// that it stops a fixed time after its last good renewal.
+func (p *Pool) entitled(t *Term) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.term == t && time.Since(t.renewed) < ids.Seconds(p.Set.Own.BeatGraceS).Duration()
+}
+
+// Beat answers a worker's report: a reply, or else a status and redirect.
+func (p *Pool) Beat(ctx context.Context, rep *worker.Report) (*worker.Reply, int, worker.Redirect) {
+	t := p.current()
+	if t == nil {
+		if node, ok := p.Owner(); ok {
+			p.mu.Lock()
+			p.reached[rep.Machine] = time.Now()
+			p.mu.Unlock()
+			return nil, 421, worker.Redirect{AnswerTo: node}
+		}
+		return nil, 503, worker.Redirect{}
+	}
+	select {
+	case <-t.loaded:
+	case <-time.After(1500 * time.Millisecond):
+		return nil, 503, worker.Redirect{}
+	case <-ctx.Done():
+		return nil, 503, worker.Redirect{}
+	}
+	if !p.entitled(t) {
+		return nil, 503, worker.Redirect{}
+	}
+	gen := t.Book.Generation()
+	// An answer with a token below the worker's is dropped and renews nothing.
+	orders := t.Book.Observe(rep, rep.Token <= gen, true)
+	if orders == nil {
+		orders = []worker.Order{}
+	}
+	if rep.Token > gen {
+		orders = []worker.Order{}
+	}
+	return &worker.Reply{Token: gen, Orders: orders}, 200, worker.Redirect{}
+}
--- /dev/null
+++ b/internal/claim/record.go
@@ -0,0 +1,219 @@
+// Package claim owns the jobs' records, the claim on the machine pool, and what
+// the pool's owner does with both: claiming jobs, marking batches before their
+// starts, and settling outcomes from reports.
+package claim
+
+import (
+	"encoding/json"
+	"sort"
+
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/placement"
+)
+
+// Where things are kept in the state service.
+const (
+	OwnerKey      = "pool/owner"
+	GenerationKey = "pool/generation"
+	PoolPrefix    = "pool/"
+	TypesKey      = "pool/types"
+	HirePrefix    = "pool/hire/"
+	JobPrefix     = "job/"
+	EndPrefix     = "end/"
+)
+
+// JobKey and EndKey are a job's live record and, once it is over, its last.
+func JobKey(j ids.Job) string { return JobPrefix + string(j) }
+
+// EndKey names the final record.
+func EndKey(j ids.Job) string { return EndPrefix + string(j) }
+
+// Shape is how a job's tasks belong together.
+type Shape string
+
+// The three shapes.
+const (
+	Array   Shape = "array"
+	Gang    Shape = "gang"
+	Service Shape = "service"
+)
+
+// Priority orders jobs; higher goes first.
+type Priority int
+
+// The four priorities.
+const (
+	Low Priority = iota
+	Normal
+	High
+	Critical
+)
+
+var priorityNames = [...]string{"low", "normal", "high", "critical"}
+
+func (p Priority) String() string { return priorityNames[p] }
+
+// Spec is a job as its user described it.
+type Spec struct {
+	ID         ids.Job        `json:"id"`
+	Class      string         `json:"class,omitempty"`
+	Team       string         `json:"team"`
+	Shape      Shape          `json:"shape"`
+	Priority   Priority       `json:"priority"`
+	Tasks      int            `json:"tasks"`
+	Need       placement.Room `json:"need"`
+	Image      string         `json:"image,omitempty"`
+	ImageGB    float64        `json:"imageGb,omitempty"`
+	Types      []string       `json:"types,omitempty"`
+	Zone       string         `json:"zone,omitempty"`
+	OneZone    bool           `json:"oneZone,omitempty"`
+	Spread     bool           `json:"spread,omitempty"`
+	Spot       bool           `json:"spot,omitempty"`
+	Estimate   ids.Seconds    `json:"estimate,omitempty"`
+	Checkpoint ids.Seconds    `json:"checkpoint,omitempty"`
+	Save       ids.Seconds    `json:"save,omitempty"`
+	Due        ids.Seconds    `json:"due,omitempty"`
+}
+
+// Ask is what placement needs to know of one of its tasks.
+func (s *Spec) Ask() placement.Ask {
+	return placement.Ask{Need: s.Need, Types: s.Types, Zone: s.Zone, Spot: s.Spot, Image: s.Image, ImageGB: s.ImageGB}
+}
+
+// Status is where a job stands.
+type Status string
+
+// The statuses. Queued and claimed differ only in whether any task may be on a
+// machine; cancelling is told to users as cancelled.
+const (
+	Queued     Status = "queued"
+	Claimed    Status = "claimed"
+	Cancelling Status = "cancelling"
+	Cancelled  Status = "cancelled"
+	Done       Status = "done"
+)
+
+// moves is the whole transition table: what is not here cannot happen.
+var moves = map[Status][]Status{
+	Queued:     {Claimed, Cancelling, Cancelled, Done},
+	Claimed:    {Queued, Cancelling, Done},
+	Cancelling: {Cancelled},
+}
+
+// May tells whether a job may go from one status to another.
+func (s Status) May(to Status) bool {
+	for _, t := range moves[s] {
+		if t == to {
+			return true
+		}
+	}
+	return false
+}
+
+// Over tells whether nothing more happens to the job.
+func (s Status) Over() bool { return s == Cancelled || s == Done }
+
+// Spot where tasks of one attempt may be.
+type placeRec struct {
+	Machine ids.Machine    `json:"m"`
+	Session ids.Session    `json:"s"`
+	Attempt ids.Attempt    `json:"a"`
+	Token   ids.Generation `json:"g"`
+	Tasks   ids.Ranges     `json:"t"`
+}
+
+// Event is one line of a job's trail.
+type Event struct {
+	At   ids.Wall `json:"at"`
+	What string   `json:"what"`
+}
+
+// Record is a job as the state service keeps it.
+type Record struct {
+	Spec      Spec           `json:"spec"`
+	Status    Status         `json:"status"`
+	Submitted ids.Wall       `json:"submitted"`
+	Attempt   ids.Attempt    `json:"attempt"`
+	Gen       ids.Generation `json:"generation"`
+	Finished  ids.Ranges     `json:"finished"`
+	Places    []placeRec     `json:"places,omitempty"`
+	Trail     []Event        `json:"trail,omitempty"`
+	// Writer and Seq tell a writer that lost an answer whether what it finds
+	// is its own.
+	Writer string `json:"writer"`
+	Seq    uint64 `json:"seq"`
+}
+
+// NewRecord is how every job begins.
+func NewRecord(s Spec, now ids.Wall, writer string) *Record {
+	return &Record{Spec: s, Status: Queued, Submitted: now, Writer: writer,
+		Trail: []Event{{now, "accepted"}}}
+}
+
+// Decode reads a record.
+func Decode(raw json.RawMessage) (*Record, error) {
+	r := &Record{}
+	return r, json.Unmarshal(raw, r)
+}
+
+// Encode writes a record into at most limit bytes, giving up the oldest trail
+// first; ok is false when even that does not fit.
+func (r *Record) Encode(limit int) (raw json.RawMessage, ok bool) {
+	for {
+		raw, err := json.Marshal(r)
+		if err != nil {
+			return nil, false
+		}
+		if len(raw) <= limit {
+			return raw, true
+		}
+		if len(r.Trail) == 0 {
+			return nil, false
+		}
+		r.Trail = r.Trail[1:]
+	}
+}
+
+// Open counts the tasks that may be on machines.
+func (r *Record) Open() int {
+	n := 0
+	for i := range r.Places {
+		n += r.Places[i].Tasks.Len()
+	}
+	return n
+}
+
+// packPlaces groups places so that a large job's record stays small.
+func packPlaces(places map[int]*Place) []placeRec {
+	type key struct {
+		m ids.Machine
+		s ids.Session
+		a ids.Attempt
+		g ids.Generation
+	}
+	groups := map[key]*ids.Ranges{}
+	var order []key
+	for _, i := range sortedTasks(places) {
+		p := places[i]
+		k := key{p.Machine, p.Session, p.Attempt, p.Token}
+		if groups[k] == nil {
+			groups[k] = &ids.Ranges{}
+			order = append(order, k)
+		}
+		groups[k].Add(i)
+	}
+	out := make([]placeRec, 0, len(order))
+	for _, k := range order {
+		out = append(out, placeRec{k.m, k.s, k.a, k.g, *groups[k]})
+	}
+	return out
+}
+
+func sortedTasks(places map[int]*Place) []int {
+	keys := make([]int, 0, len(places))
+	for i := range places {
+		keys = append(keys, i)
+	}
+	sort.Ints(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/claim/settle.go
@@ -0,0 +1,315 @@
+package claim
+
+import (
+	"log/slog"
+	"math"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/worker"
+)
+
+// Observe settles outcomes from a report and returns the orders its machine
+// should get. answered tells that the worker gets a 200 for this report; beat
+// tells a beat from the answer to direct commands.
+func (b *Book) Observe(rep *worker.Report, answered, beat bool) []worker.Order {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	if b.returned[rep.Machine] {
+		return nil // held back on its way: the machine is gone
+	}
+	known := b.roster.Machines[rep.Machine] != nil
+	m := b.roster.Ensure(rep.Machine, now, b.trustSilence)
+	if !known {
+		slog.Info("machine reports that nobody expected; adopted", "machine", rep.Machine, "type", rep.Type, "zone", rep.Zone)
+	}
+	firstHeard := !m.Heard
+	hadNotice := !m.TakenAt.IsZero()
+	v := b.roster.Note(m, rep, now, answered, b.gen)
+	if !v.Fresh {
+		return nil
+	}
+	if firstHeard {
+		m.IdleSince = now
+		poke(b.wakePlan)
+	}
+	if !hadNotice && !m.TakenAt.IsZero() {
+		slog.Info("spot notice", "machine", m.Name, "in", m.TakenAt.Sub(now))
+		poke(b.wakePlan)
+	}
+	// Everything of an earlier session is gone, as the worker forgot it when
+	// its lease lapsed.
+	for p := range b.on[m.Name] {
+		if p.sent && p.Session < rep.Session {
+			b.vanish(p, "the worker's lease lapsed on "+string(m.Name))
+		}
+	}
+	listed := make(map[taskAttempt]bool, len(rep.Pieces))
+	var orders []worker.Order
+	for i := range rep.Pieces {
+		pc := &rep.Pieces[i]
+		t, err := ids.ParseTask(pc.Task)
+		if err != nil {
+			continue
+		}
+		k := taskAttempt{t, pc.Attempt, m.Name}
+		listed[k] = true
+		j := b.jobs[t.Job]
+		if j != nil {
+			if p := j.places[t.Index]; p != nil && p.Machine == m.Name && p.Attempt == pc.Attempt {
+				if pc.Status == worker.Ended {
+					b.settle(p, pc, m)
+				} else {
+					b.saw(p, pc, m, now)
+					continue
+				}
+			}
+		}
+		orders = append(orders, b.stray(j, k, pc, m)...)
+	}
+	for p := range b.on[m.Name] {
+		if listed[taskAttempt{p.Task(), p.Attempt, m.Name}] || !p.sent || p.Session != rep.Session {
+			continue
+		}
+		switch {
+		case p.seen:
+			b.vanish(p, "no longer reported by "+string(m.Name))
+		case p.Token < rep.Token:
+			// The worker has seen a higher token than the start carries, so
+			// the start was never carried out and never will be.
+			b.vanish(p, "start turned away by "+string(m.Name))
+		case p.stopping && beat && p.offeredOnlyByBeat(b) && rep.Tick > p.beatOffer:
+			// Starts in beat answers are carried out at once or never.
+			b.vanish(p, "start dropped by "+string(m.Name))
+		}
+	}
+	orders = append(orders, b.ordersFor(m, beat, now)...)
+	// One line of an answer must stay below 64 KiB; the rest follows with the
+	// next report.
+	return orders[:min(len(orders), maxOrders)]
+}
+
+const maxOrders = 400
+
+// ordersFor repeats, in a beat's answer, what the machine still has to do.
+// Every command may be repeated; a start is named by task and attempt, so it
+// takes effect once.
+func (b *Book) ordersFor(m *worker.Machine, beat bool, now time.Time) []worker.Order {
+	if !beat {
+		return nil
+	}
+	var orders []worker.Order
+	for p := range b.on[m.Name] {
+		j := p.Job
+		switch {
+		case p.Session != m.Session:
+		case p.stopping:
+			if p.seen && p.status != worker.Ended {
+				orders = append(orders, worker.Stop(p.Task().String(), p.Attempt, p.leewayNow(now)))
+			}
+		case !p.seen && p.Token == b.gen && j.saved >= p.version && !m.Deleting:
+			p.sent, p.offered, p.beatOffer = true, true, m.Tick
+			orders = append(orders, worker.Start(p.Task(), p.Attempt))
+		}
+	}
+	return orders
+}
+
+// leewayNow is what is left of a stop's leeway; a second stop with 0 ends a
+// task that saves for too long.
+func (p *Place) leewayNow(now time.Time) ids.Seconds {
+	if p.leeway == 0 || now.Sub(p.stopAt) > 2*p.leeway.Duration()+3*time.Second {
+		return 0
+	}
+	return p.leeway
+}
+
+// saw notes a task that is on its machine.
+func (b *Book) saw(p *Place, pc *worker.Piece, m *worker.Machine, now time.Time) {
+	p.seen, p.sent = true, true
+	if p.status != pc.Status && pc.Status == worker.Running {
+		p.ranSince = now
+	}
+	if pc.Status != worker.Pulling && p.status != pc.Status {
+		s := &p.Job.Rec.Spec
+		cache := math.Inf(1)
+		if t := b.types[m.Type]; t != nil {
+			cache = t.CacheGB
+		}
+		m.Images.Use(s.Image, s.ImageGB, cache)
+	}
+	p.status = pc.Status
+}
+
+// settle takes in how an attempt ended.
+func (b *Book) settle(p *Place, pc *worker.Piece, m *worker.Machine) {
+	j, i := p.Job, p.Index
+	k := taskAttempt{p.Task(), p.Attempt, m.Name}
+	b.dropPlace(p)
+	if j.ended {
+		return
+	}
+	now := time.Now()
+	switch pc.Cause {
+	case worker.CauseDone:
+		m.Faults = 0
+		delete(j.tries, i)
+		j.Rec.Finished.Add(i)
+		if j.Rec.Spec.Shape == Gang {
+			// A gang completes as one.
+			for n := range j.Rec.Spec.Tasks {
+				j.Rec.Finished.Add(n)
+			}
+		}
+	case worker.CauseStopped:
+		b.note(j, "task %d stopped on %s: %s%s", i, m.Name, p.reason(), savedText(pc.Saved))
+	case worker.CausePeers:
+		b.note(j, "task %d ended on %s: another task of the gang was gone", i, m.Name)
+	case worker.CauseIncomplete:
+		b.note(j, "task %d ended on %s: the gang was not complete in time", i, m.Name)
+	case worker.CauseError, worker.CauseNoSuch:
+		// A job that fails wherever it runs says nothing about machines.
+		if j.failedOn[m.Name] = true; len(j.failedOn) <= 2 {
+			m.Faults++
+		}
+		if m.Faults >= int(b.set.Own.FaultyAfter) && m.Draining == "" {
+			m.Draining = "tasks keep failing there"
+			slog.Warn("machine drained", "machine", m.Name, "why", m.Draining)
+		}
+		r := b.backoff(j, i, now)
+		r.avoid[m.Name] = true
+		b.note(j, "task %d failed on %s (%s); tried again elsewhere after %.0fs", i, m.Name, pc.Cause, r.at.Sub(now).Seconds())
+	case worker.CauseNoRoom, worker.CauseBusy:
+		b.note(j, "task %d refused by %s: %s", i, m.Name, pc.Cause)
+		r := b.tryOf(j, i)
+		r.at = now.Add(time.Second)
+		r.avoid[m.Name] = true
+	}
+	b.touch(j)
+	j.settled[k] = j.version
+	b.finishIfOver(j)
+	j.settled[k] = j.version
+}
+
+func savedText(saved bool) string {
+	if saved {
+		return " (progress saved)"
+	}
+	return ""
+}
+
+func (p *Place) reason() string {
+	if p.why == "" {
+		return "not asked for"
+	}
+	return p.why
+}
+
+func (b *Book) tryOf(j *Job, i int) *retry {
+	r := j.tries[i]
+	if r == nil {
+		r = &retry{avoid: map[ids.Machine]bool{}}
+		j.tries[i] = r
+	}
+	return r
+}
+
+// backoff doubles the wait before a failing task's next try.
+func (b *Book) backoff(j *Job, i int, now time.Time) *retry {
+	r := b.tryOf(j, i)
+	r.fails++
+	wait := b.set.Own.BackoffS * math.Pow(2, float64(min(r.fails, 16)-1))
+	r.at = now.Add(ids.Seconds(min(wait, b.set.Own.BackoffMaxS)).Duration())
+	return r
+}
+
+// vanish requeues a task proven not to be on its machine any more.
+func (b *Book) vanish(p *Place, why string) {
+	j := p.Job
+	b.dropPlace(p)
+	if j.ended {
+		return
+	}
+	b.note(j, "task %d gone: %s", p.Index, why)
+	b.touch(j)
+	b.finishIfOver(j)
+}
+
+// stray deals with a reported piece that no place accounts for.
+func (b *Book) stray(j *Job, k taskAttempt, pc *worker.Piece, m *worker.Machine) []worker.Order {
+	if pc.Status == worker.Ended {
+		if j != nil && !j.ended {
+			if v, ok := j.settled[k]; ok && j.saved < v {
+				return nil // its outcome must be stored before it is cleared
+			}
+			if pc.Cause == worker.CauseDone && !j.Rec.Finished.Has(k.task.Index) && k.task.Index < j.Rec.Spec.Tasks &&
+				j.places[k.task.Index] == nil && !j.cancelled() {
+				// A result is kept wherever it comes from.
+				j.Rec.Finished.Add(k.task.Index)
+				b.touch(j)
+				j.settled[k] = j.version
+				b.finishIfOver(j)
+				j.settled[k] = j.version
+				return nil
+			}
+			delete(j.settled, k)
+		}
+		if m.MayRevive(pc.Task, pc.Attempt) {
+			return nil // cleared, a late start would begin it anew
+		}
+		return []worker.Order{worker.Clear(pc.Task, pc.Attempt)}
+	}
+	if j != nil && j.places[k.task.Index] == nil && k.task.Index < j.Rec.Spec.Tasks {
+		// It is there, whoever started it: until it is gone it must not be
+		// started elsewhere and counts against its team.
+		p := &Place{Job: j, Index: k.task.Index, Machine: m.Name, Session: m.Session, Attempt: k.attempt, Token: b.gen,
+			sent: true, seen: true, status: pc.Status, since: time.Now()}
+		j.Rec.Attempt = max(j.Rec.Attempt, k.attempt)
+		b.putPlace(p)
+		if j.cancelled() || j.Rec.Finished.Has(k.task.Index) || j.Rec.Spec.Shape == Gang {
+			b.stop(p, 0, "not expected there")
+		} else {
+			b.note(j, "task %d found on %s and kept", p.Index, m.Name)
+		}
+		if !j.ended {
+			b.touch(j)
+			p.version = j.version
+		}
+		return nil
+	}
+	slog.Info("stray task stopped", "task", pc.Task, "attempt", pc.Attempt, "machine", m.Name)
+	return []worker.Order{worker.Stop(pc.Task, pc.Attempt, 0)}
+}
+
+// Lapses requeues what was on machines whose workers' leases have surely run
+// out, and returns whether anything did.
+func (b *Book) Lapses(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, ps := range b.on {
+		m := b.roster.Ensure(name, now, b.trustSilence)
+		if now.Before(m.LapseAt) {
+			continue
+		}
+		for p := range ps {
+			// A start sent after the last answer belongs to the same lapsed
+			// session, which turns it away from here on.
+			b.vanish(p, "the worker's lease lapsed on silent "+string(name))
+		}
+	}
+}
+
+// MachineGone requeues everything on a machine that the cloud has confirmed
+// deleted, and forgets it.
+func (b *Book) MachineGone(name ids.Machine, why string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for p := range b.on[name] {
+		b.vanish(p, why)
+	}
+	delete(b.roster.Machines, name)
+	b.returned[name] = true
+	delete(b.reserved, name)
+	poke(b.wakePlan)
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,287 @@
+// Package config reads the platform's settings file and the operators' own.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+	"google.golang.org/protobuf/encoding/prototext"
+
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+)
+
+// Settings is the platform's file. Fields it does not name are ignored.
+type Settings struct {
+	HostName      ids.Node `toml:"host_name"`
+	Area          string   `toml:"area"`
+	ClientListen  string   `toml:"client_listen"`
+	ClusterListen string   `toml:"cluster_listen"`
+	Others        []Other  `toml:"others"`
+	Services      struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"services"`
+	Params struct {
+		InitialSize  int         `toml:"initial_size"`
+		Zones        []string    `toml:"zones"`
+		ClockErrorMs float64     `toml:"clock_error_ms"`
+		Teams        []Team      `toml:"teams"`
+		Objectives   []Objective `toml:"objectives"`
+		Workers      Workers     `toml:"workers"`
+		State        State       `toml:"state"`
+		Cloud        Cloud       `toml:"cloud"`
+		Limits       Limits      `toml:"machine_limits"`
+	} `toml:"params"`
+
+	Own *Operator `toml:"-"`
+}
+
+// Other is one of the other controllers.
+type Other struct {
+	HostName ids.Node `toml:"host_name"`
+	Area     string   `toml:"area"`
+	PeerAddr string   `toml:"peer_addr"`
+}
+
+// Team has a guarantee and a limit; a limit of 0 is none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective says what is expected of a class of jobs.
+type Objective struct {
+	Kind    string      `toml:"kind"`
+	Class   string      `toml:"class"`
+	WithinS ids.Seconds `toml:"within_s"`
+	Share   float64     `toml:"share"`
+}
+
+// Workers holds the workers' intervals.
+type Workers struct {
+	ReportS   ids.Seconds `toml:"report_s"`
+	LeaseS    ids.Seconds `toml:"lease_s"`
+	GangWaitS ids.Seconds `toml:"gang_wait_s"`
+	GangPeerS ids.Seconds `toml:"gang_peer_s"`
+	CancelS   ids.Seconds `toml:"cancel_s"`
+}
+
+// State holds the state service's limits.
+type State struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Cloud holds the cloud's limits.
+type Cloud struct {
+	RPS      float64     `toml:"rps"`
+	ListLagS ids.Seconds `toml:"list_lag_s"`
+}
+
+// Limits is what the machine gives this process.
+type Limits struct {
+	Cores      float64 `toml:"cores"`
+	RAMMB      float64 `toml:"ram_mb"`
+	MaxSockets int     `toml:"max_sockets"`
+}
+
+// Load reads and checks both files; ownPath may be empty.
+func Load(path, ownPath string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s, err := Parse(raw)
+	if err != nil {
+		return nil, fmt.Errorf("settings %s: %w", path, err)
+	}
+	s.Own = Defaults()
+	if ownPath != "" {
+		raw, err := os.ReadFile(ownPath)
+		if err != nil {
+			return nil, fmt.Errorf("operator settings: %w", err)
+		}
+		if s.Own, err = ParseOwn(raw); err != nil {
+			return nil, fmt.Errorf("operator settings %s: %w", ownPath, err)
+		}
+	}
+	return s, nil
+}
+
+// Parse reads and checks the platform's file.
+func Parse(raw []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := toml.Unmarshal(raw, s); err != nil {
+		var d *toml.DecodeError
+		if errors.As(err, &d) {
+			row, _ := d.Position()
+			return nil, fmt.Errorf("line %d: %s", row, d.Error())
+		}
+		return nil, err
+	}
+	s.Own = Defaults()
+	return s, s.check()
+}
+
+func (s *Settings) check() error {
+	type field struct {
+		name string
+		v    float64
+	}
+	p := &s.Params
+	for _, f := range []struct{ name, v string }{
+		{"host_name", string(s.HostName)}, {"area", s.Area},
+	} {
+		if f.v == "" {
+			return fmt.Errorf("%s: missing", f.name)
+		}
+	}
+	addrs := []struct{ name, v string }{
+		{"client_listen", s.ClientListen}, {"cluster_listen", s.ClusterListen},
+		{"services.cloud", s.Services.Cloud}, {"services.state", s.Services.State},
+	}
+	seen := map[ids.Node]bool{s.HostName: true}
+	for i, o := range s.Others {
+		if o.HostName == "" || seen[o.HostName] {
+			return fmt.Errorf("others[%d].host_name: missing or not unique: %q", i, o.HostName)
+		}
+		seen[o.HostName] = true
+		addrs = append(addrs, struct{ name, v string }{fmt.Sprintf("others[%d].peer_addr", i), o.PeerAddr})
+	}
+	for _, a := range addrs {
+		if _, port, err := net.SplitHostPort(a.v); err != nil || port == "" {
+			return fmt.Errorf("%s: not an address with a port: %q", a.name, a.v)
+		}
+	}
+	if s.ClientListen == s.ClusterListen {
+		return errors.New("cluster_listen: the same as client_listen")
+	}
+	if len(p.Zones) == 0 {
+		return errors.New("params.zones: missing")
+	}
+	if len(p.Teams) == 0 {
+		return errors.New("params.teams: missing")
+	}
+	names := map[string]bool{}
+	for i, t := range p.Teams {
+		at := fmt.Sprintf("params.teams[%d]", i)
+		if t.Name == "" || names[t.Name] {
+			return fmt.Errorf("%s.name: missing or not unique: %q", at, t.Name)
+		}
+		names[t.Name] = true
+		for _, f := range []field{{"cpus", t.CPUs}, {"cpus_max", t.CPUsMax}, {"gpus", t.GPUs}, {"gpus_max", t.GPUsMax}} {
+			if !(f.v >= 0) || math.IsInf(f.v, 0) {
+				return fmt.Errorf("%s.%s: must be zero or more: %v", at, f.name, f.v)
+			}
+		}
+		if t.CPUsMax > 0 && t.CPUs > t.CPUsMax || t.GPUsMax > 0 && t.GPUs > t.GPUsMax {
+			return fmt.Errorf("%s: guarantees more than its limit", at)
+		}
+	}
+	for _, f := range []field{
+		{"params.workers.report_s", float64(p.Workers.ReportS)},
+		{"params.workers.lease_s", float64(p.Workers.LeaseS)},
+		{"params.workers.gang_wait_s", float64(p.Workers.GangWaitS)},
+		{"params.workers.gang_peer_s", float64(p.Workers.GangPeerS)},
+		{"params.workers.cancel_s", float64(p.Workers.CancelS)},
+		{"params.state.rps", p.State.RPS},
+		{"params.state.write_rps", p.State.WriteRPS},
+		{"params.state.value_kb", p.State.ValueKB},
+		{"params.state.txn_ops", float64(p.State.TxnOps)},
+		{"params.cloud.rps", p.Cloud.RPS},
+		{"params.machine_limits.cores", p.Limits.Cores},
+		{"params.machine_limits.ram_mb", p.Limits.RAMMB},
+		{"params.machine_limits.max_sockets", float64(p.Limits.MaxSockets)},
+	} {
+		if !(f.v > 0) || math.IsInf(f.v, 0) {
+			return fmt.Errorf("%s: missing or not above zero: %v", f.name, f.v)
+		}
+	}
+	if p.Cloud.ListLagS < 0 || p.ClockErrorMs < 0 {
+		return errors.New("params.cloud.list_lag_s, params.clock_error_ms: must be zero or more")
+	}
+	if p.State.TxnOps < 4 {
+		return fmt.Errorf("params.state.txn_ops: a takeover needs at least 4, not %d", p.State.TxnOps)
+	}
+	if p.Workers.LeaseS <= p.Workers.ReportS {
+		return fmt.Errorf("params.workers.lease_s: must be above report_s: %v", p.Workers.LeaseS)
+	}
+	return nil
+}
+
+// Defaults are the operators' settings when they name none.
+func Defaults() *Operator {
+	return &Operator{
+		PoolHoldMs: 3000, BeatGraceS: 40, SampleMachines: 5, BackoffS: 5, BackoffMaxS: 60,
+		TrailEvents: 12, IdleReturnS: 25, StuckBootFactor: 3, OwnerShare: 0.6, FaultyAfter: 2,
+		SpareShare: 0.15,
+	}
+}
+
+// ParseOwn reads the operators' file over the defaults.
+func ParseOwn(raw []byte) (*Operator, error) {
+	in := &Operator{}
+	if err := prototext.Unmarshal(raw, in); err != nil {
+		return nil, err
+	}
+	o := Defaults()
+	set := func(to *float64, v float64) {
+		if v != 0 {
+			*to = v
+		}
+	}
+	setN := func(to *uint32, v uint32) {
+		if v != 0 {
+			*to = v
+		}
+	}
+	setN(&o.PoolHoldMs, in.PoolHoldMs)
+	setN(&o.SampleMachines, in.SampleMachines)
+	setN(&o.TrailEvents, in.TrailEvents)
+	setN(&o.FaultyAfter, in.FaultyAfter)
+	set(&o.BeatGraceS, in.BeatGraceS)
+	set(&o.BackoffS, in.BackoffS)
+	set(&o.BackoffMaxS, in.BackoffMaxS)
+	set(&o.IdleReturnS, in.IdleReturnS)
+	set(&o.StuckBootFactor, in.StuckBootFactor)
+	set(&o.OwnerShare, in.OwnerShare)
+	set(&o.SpareShare, in.SpareShare)
+	switch {
+	case o.PoolHoldMs < 500 || o.PoolHoldMs > 600000:
+		return nil, fmt.Errorf("pool_hold_ms: must be 500 to 600000: %d", o.PoolHoldMs)
+	case !(o.BeatGraceS*1000 >= float64(o.PoolHoldMs)):
+		return nil, fmt.Errorf("beat_grace_s: must be at least the hold: %v", o.BeatGraceS)
+	case !(o.OwnerShare > 0 && o.OwnerShare < 1):
+		return nil, fmt.Errorf("owner_share: must lie between 0 and 1: %v", o.OwnerShare)
+	case !(o.BackoffS > 0 && o.BackoffMaxS >= o.BackoffS):
+		return nil, fmt.Errorf("backoff_max_s: must be at least backoff_s, both above 0: %v", o.BackoffMaxS)
+	case !(o.IdleReturnS > 0):
+		return nil, fmt.Errorf("idle_return_s: must be above 0: %v", o.IdleReturnS)
+	case !(o.StuckBootFactor >= 1):
+		return nil, fmt.Errorf("stuck_boot_factor: must be at least 1: %v", o.StuckBootFactor)
+	case !(o.SpareShare > 0 && o.SpareShare <= 1):
+		return nil, fmt.Errorf("spare_share: must lie between 0 and 1: %v", o.SpareShare)
+	case o.TrailEvents > 64:
+		return nil, fmt.Errorf("trail_events: at most 64: %d", o.TrailEvents)
+	}
+	return o, nil
+}
+
+// Team finds a team by name.
+func (s *Settings) Team(name string) (Team, bool) {
+	for _, t := range s.Params.Teams {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Team{}, false
+}
--- /dev/null
+++ b/internal/fleet/keeper.go
@@ -0,0 +1,169 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/claim"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/state"
+)
+
+// Store keeps intents, fenced by the pool's generation.
+type Store interface {
+	Apply(ctx context.Context, ops []state.Op) error
+}
+
+type offer struct {
+	label, zone string
+	spot        bool
+}
+
+// Keeper is the owner's loop that keeps the fleet fitting the work.
+type Keeper struct {
+	Cloud *Cloud
+	Book  *claim.Book
+	Store Store
+	// Gen makes hire names unique: it is this owner's alone.
+	Gen ids.Generation
+	// ListEvery spaces the lists; they lag anyway.
+	ListEvery time.Duration
+	// OnTypes is told the cloud's offer whenever it was read.
+	OnTypes func([]placement.Type)
+
+	open    []Intent // stored, not answered for sure yet
+	refused map[offer]time.Time
+	listed  time.Time
+	typed   time.Time
+	seq     int
+}
+
+// Adopt takes over the intents a predecessor left behind: sending them again
+// tells what they rented.
+func (k *Keeper) Adopt(entries []state.Entry) {
+	for _, e := range entries {
+		var in Intent
+		if err := json.Unmarshal(e.Value, &in); err == nil && in.Name != "" {
+			k.open = append(k.open, in)
+		}
+	}
+}
+
+// Run keeps the fleet until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		k.Step(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(500 * time.Millisecond):
+		}
+	}
+}
+
+// Step does one round: types, list, open hires, returns, new hires.
+func (k *Keeper) Step(ctx context.Context) {
+	if k.refused == nil {
+		k.refused = map[offer]time.Time{}
+	}
+	now := time.Now()
+	if k.typed.IsZero() || now.Sub(k.typed) > 30*time.Second {
+		if ts, err := k.Cloud.Types(ctx); err == nil {
+			k.Book.SetTypes(ts)
+			k.typed = now
+			if k.OnTypes != nil {
+				k.OnTypes(ts)
+			}
+		} else if k.typed.IsZero() {
+			slog.Info("machine types not known yet", "err", err)
+			return
+		}
+	}
+	ds, ups, types := k.Book.Needs(time.Now())
+	hires, needed := placement.Rent(ds, ups, types, func(label, zone string, spot bool) bool {
+		return !k.refused[offer{label, zone, spot}].After(now)
+	})
+	k.returns(ctx, needed)
+	if k.listed.IsZero() || now.Sub(k.listed) > k.ListEvery {
+		if ls, err := k.Cloud.List(ctx); err == nil {
+			k.Book.List(ls, time.Now())
+			k.listed = now
+		}
+	}
+	for _, in := range append([]Intent(nil), k.open...) {
+		k.send(ctx, in)
+	}
+	if len(k.open) > 0 || k.listed.IsZero() {
+		return // what they rent is not known yet
+	}
+	for _, h := range hires {
+		k.hire(ctx, h)
+	}
+}
+
+func (k *Keeper) returns(ctx context.Context, needed map[ids.Machine]bool) {
+	names := k.Book.Returns(time.Now(), needed)
+	for len(names) > 0 {
+		n := min(len(names), 100)
+		if err := k.Cloud.Delete(ctx, names[:n]); err != nil {
+			slog.Debug("deletion not confirmed", "err", err)
+			return // asked again next round, until it is confirmed
+		}
+		for _, name := range names[:n] {
+			k.Book.MachineGone(name, "machine "+string(name)+" was returned to the cloud")
+		}
+		names = names[n:]
+	}
+}
+
+// hire stores the request's name before sending it: whoever comes after can
+// learn what it rented, and no name is ever used for two requests.
+func (k *Keeper) hire(ctx context.Context, h placement.Hire) {
+	k.seq++
+	in := Intent{Name: ids.Hire(fmt.Sprintf("h-%d-%d", k.Gen, k.seq)), Type: h.Type, Zone: h.Zone, Spot: h.Spot, Count: min(h.Count, 50)}
+	raw, err := json.Marshal(in)
+	if err != nil {
+		return
+	}
+	if err := k.Store.Apply(ctx, []state.Op{{Put: claim.HirePrefix + string(in.Name), Value: raw}}); err != nil {
+		slog.Debug("hire not stored", "hire", in.Name, "err", err)
+		if errors.Is(err, state.ErrUnknown) {
+			k.open = append(k.open, in) // perhaps stored: send it, then remove it
+		}
+		return
+	}
+	k.open = append(k.open, in)
+	k.send(ctx, in)
+}
+
+func (k *Keeper) send(ctx context.Context, in Intent) {
+	names, err := k.Cloud.Hire(ctx, in)
+	switch {
+	case err == nil:
+		slog.Info("hired", "hire", in.Name, "type", in.Type, "zone", in.Zone, "spot", in.Spot, "asked", in.Count, "got", len(names))
+		k.Book.Hired(names, placement.Hire{Type: in.Type, Zone: in.Zone, Spot: in.Spot}, time.Now())
+		if len(names) < in.Count {
+			k.refused[offer{in.Type, in.Zone, in.Spot}] = time.Now().Add(15 * time.Second)
+		}
+	case errors.Is(err, ErrNoCapacity):
+		k.refused[offer{in.Type, in.Zone, in.Spot}] = time.Now().Add(15 * time.Second)
+	case errors.Is(err, ErrMalformed):
+		slog.Error("the cloud calls a hire malformed", "hire", in.Name, "err", err)
+		k.refused[offer{in.Type, in.Zone, in.Spot}] = time.Now().Add(time.Minute)
+	default:
+		return // sent again under the same name
+	}
+	if err := k.Store.Apply(ctx, []state.Op{{Remove: claim.HirePrefix + string(in.Name)}}); err != nil {
+		slog.Debug("intent not removed", "hire", in.Name, "err", err)
+	}
+	for i := range k.open {
+		if k.open[i].Name == in.Name {
+			k.open = append(k.open[:i], k.open[i+1:]...)
+			break
+		}
+	}
+}
--- /dev/null
+++ b/internal/ids/ranges.go
@@ -0,0 +1,114 @@
+package ids
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+)
+
+type span struct{ lo, hi int }
+
+// Ranges is a set of task indexes kept as spans, so that a job of a hundred
+// thousand tasks stays small in memory and in its record.
+type Ranges struct{ spans []span }
+
+// Add puts i into the set and tells whether it was new.
+func (r *Ranges) Add(i int) bool {
+	k := sort.Search(len(r.spans), func(k int) bool { return r.spans[k].hi >= i })
+	if k < len(r.spans) && r.spans[k].lo <= i {
+		return false
+	}
+	joinLeft := k > 0 && r.spans[k-1].hi == i-1
+	joinRight := k < len(r.spans) && r.spans[k].lo == i+1
+	switch {
+	case joinLeft && joinRight:
+		r.spans[k-1].hi = r.spans[k].hi
+		r.spans = append(r.spans[:k], r.spans[k+1:]...)
+	case joinLeft:
+		r.spans[k-1].hi = i
+	case joinRight:
+		r.spans[k].lo = i
+	default:
+		r.spans = append(r.spans, span{})
+		copy(r.spans[k+1:], r.spans[k:])
+		r.spans[k] = span{i, i}
+	}
+	return true
+}
+
+// Has tells whether i is in the set.
+func (r *Ranges) Has(i int) bool {
+	k := sort.Search(len(r.spans), func(k int) bool { return r.spans[k].hi >= i })
+	return k < len(r.spans) && r.spans[k].lo <= i
+}
+
+// Len counts the members.
+func (r *Ranges) Len() int {
+	n := 0
+	for _, s := range r.spans {
+		n += s.hi - s.lo + 1
+	}
+	return n
+}
+
+// NextMissing is the smallest index at or above i that is not in the set.
+func (r *Ranges) NextMissing(i int) int {
+	k := sort.Search(len(r.spans), func(k int) bool { return r.spans[k].hi >= i })
+	if k < len(r.spans) && r.spans[k].lo <= i {
+		return r.spans[k].hi + 1
+	}
+	return i
+}
+
+// Each calls f for every member, in order.
+func (r *Ranges) Each(f func(int)) {
+	for _, s := range r.spans {
+		for i := s.lo; i <= s.hi; i++ {
+			f(i)
+		}
+	}
+}
+
+// String writes the set as "0-4,7".
+func (r Ranges) String() string {
+	var b strings.Builder
+	for k, s := range r.spans {
+		if k > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.Itoa(s.lo))
+		if s.hi > s.lo {
+			b.WriteByte('-')
+			b.WriteString(strconv.Itoa(s.hi))
+		}
+	}
+	return b.String()
+}
+
+// MarshalText makes the set a short string in JSON.
+func (r Ranges) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+
+// UnmarshalText reads what MarshalText writes.
+func (r *Ranges) UnmarshalText(b []byte) error {
+	r.spans = nil
+	if len(b) == 0 {
+		return nil
+	}
+	for _, part := range strings.Split(string(b), ",") {
+		a, z, two := strings.Cut(part, "-")
+		if !two {
+			z = a
+		}
+		lo, err := strconv.Atoi(a)
+		if err != nil {
+			return fmt.Errorf("range %q: %w", part, err)
+		}
+		hi, err := strconv.Atoi(z)
+		if err != nil || hi < lo {
+			return fmt.Errorf("range %q is not one", part)
+		}
+		r.spans = append(r.spans, span{lo, hi})
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/intake/desk.go
@@ -0,0 +1,253 @@
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/claim"
+	"github.com/pebbletrail/pebbletrail/internal/config"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/state"
+)
+
+// Teller passes a write on to the pool's owner.
+type Teller interface {
+	Tell(id ids.Job, stamp ids.Stamp, rec *claim.Record, raw json.RawMessage)
+}
+
+// errNotNow means that the request can't be decided or stored now.
+var errNotNow = errors.New("try again later")
+
+// errNever means that the job can never run.
+type errNever struct{ why string }
+
+func (e errNever) Error() string { return e.why }
+
+// Desk serves the users. It writes and reads the records itself, whichever
+// node owns the pool.
+type Desk struct {
+	Set    *config.Settings
+	State  *state.Client
+	Teller Teller
+	Writer string
+	// Types is the cloud's offer; empty while it is not known.
+	Types func() []placement.Type
+
+	mu   sync.Mutex
+	over map[ids.Job]*answer // final answers never change, so they may be kept
+	q    []ids.Job
+}
+
+const keepAnswers = 4096
+
+func (d *Desk) remember(r *claim.Record) {
+	a := tell(r)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.over == nil {
+		d.over = map[ids.Job]*answer{}
+	}
+	if d.over[a.UID] != nil {
+		return
+	}
+	d.over[a.UID] = &a
+	d.q = append(d.q, a.UID)
+	if len(d.q) > keepAnswers {
+		delete(d.over, d.q[0])
+		d.q = d.q[1:]
+	}
+}
+
+func (d *Desk) remembered(id ids.Job) (answer, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if a := d.over[id]; a != nil {
+		return *a, true
+	}
+	return answer{}, false
+}
+
+// read fetches a job's record, begun after the request; nil when there is
+// none. The live record comes first: a job that ends in between has its final
+// record before its live one is gone.
+func (d *Desk) read(ctx context.Context, id ids.Job, u state.Urgency) (*claim.Record, state.Entry, error) {
+	for _, key := range []string{claim.JobKey(id), claim.EndKey(id)} {
+		e, found, err := d.State.Get(ctx, key, u)
+		if err != nil {
+			return nil, e, fmt.Errorf("%w: %v", errNotNow, err)
+		}
+		if found {
+			r, err := claim.Decode(e.Value)
+			if err != nil {
+				slog.Error("unreadable record", "key", key, "err", err)
+				return nil, e, errNotNow
+			}
+			if r.Status.Over() {
+				d.remember(r)
+			}
+			return r, e, nil
+		}
+	}
+	return nil, state.Entry{}, nil
+}
+
+// Submit accepts a job or finds it known.
+func (d *Desk) Submit(ctx context.Context, spec claim.Spec) (a answer, known bool, err error) {
+	if a, ok := d.remembered(spec.ID); ok {
+		return a, true, nil
+	}
+	if why := d.never(&spec); why != nil {
+		// What was once accepted is never refused, so look first.
+		r, _, rerr := d.read(ctx, spec.ID, state.Spare)
+		switch {
+		case rerr != nil:
+			return a, false, rerr
+		case r != nil:
+			return tell(r), true, nil
+		}
+		return a, false, why
+	}
+	rec := claim.NewRecord(spec, ids.WallOf(time.Now()), d.Writer)
+	raw, ok := rec.Encode(int(d.Set.Params.State.ValueKB * 1024 / 2))
+	if !ok {
+		return a, false, errNever{"its description is too large to store"}
+	}
+	epoch, err := d.State.Commit(ctx, state.Txn{
+		When: []state.Cond{{Key: claim.JobKey(spec.ID)}, {Key: claim.EndKey(spec.ID)}},
+		Then: []state.Op{{Put: claim.JobKey(spec.ID), Value: raw}},
+	}, state.Spare)
+	var conflict *state.Conflict
+	switch {
+	case err == nil:
+		d.Teller.Tell(spec.ID, ids.Stamp(epoch), rec, raw)
+		return tell(rec), false, nil
+	case errors.As(err, &conflict):
+	case errors.Is(err, state.ErrUnknown):
+		// Perhaps stored: only what can be read is told.
+	default:
+		return a, false, fmt.Errorf("%w: %v", errNotNow, err)
+	}
+	r, _, err := d.read(ctx, spec.ID, state.Normal)
+	switch {
+	case err != nil:
+		return a, false, err
+	case r == nil:
+		return a, false, errNotNow
+	}
+	return tell(r), true, nil
+}
+
+// never decides whether a job can never run; an error other than errNever
+// means that this can't be told yet.
+func (d *Desk) never(s *claim.Spec) error {
+	t, ok := d.Set.Team(s.Team)
+	if !ok {
+		return errNever{"unknown team " + s.Team}
+	}
+	n := 1.0
+	if s.Shape != claim.Array {
+		n = float64(s.Tasks)
+	}
+	if t.CPUsMax > 0 && n*s.Need.Cores > t.CPUsMax || t.GPUsMax > 0 && n*s.Need.Accels > t.GPUsMax {
+		return errNever{"more than the limit of team " + s.Team}
+	}
+	types := d.Types()
+	if len(types) == 0 {
+		return errNotNow
+	}
+	ask := s.Ask()
+	var kept []string
+	fits := false
+	for i := range types {
+		t := &types[i]
+		zoneOK := s.Zone == ""
+		for _, z := range t.Zones {
+			zoneOK = zoneOK || z == s.Zone
+		}
+		if zoneOK && ask.Allows(t.Label, s.Zone, false) {
+			kept = append(kept, t.Label)
+			fits = fits || t.Room().Holds(s.Need)
+		}
+	}
+	if !fits {
+		return errNever{"a task fits no allowed machine type"}
+	}
+	if s.Types != nil {
+		s.Types = kept // names nobody offers need not be kept
+	}
+	return nil
+}
+
+// Look answers a poll; found is false for a job never accepted.
+func (d *Desk) Look(ctx context.Context, id ids.Job) (answer, bool, error) {
+	if a, ok := d.remembered(id); ok {
+		return a, true, nil
+	}
+	r, _, err := d.read(ctx, id, state.Spare)
+	if err != nil || r == nil {
+		return answer{}, false, err
+	}
+	return tell(r), true, nil
+}
+
+// Cancel ends a queued job at once; of a claimed one it stores the wish, which
+// the pool's owner carries out. Either is committed before it is told.
+func (d *Desk) Cancel(ctx context.Context, id ids.Job) (answer, bool, error) {
+	if a, ok := d.remembered(id); ok {
+		return a, true, nil
+	}
+	for range 5 {
+		r, e, err := d.read(ctx, id, state.Spare)
+		if err != nil || r == nil {
+			return answer{}, false, err
+		}
+		if r.Status.Over() || r.Status == claim.Cancelling {
+			return tell(r), true, nil
+		}
+		now := ids.WallOf(time.Now())
+		r.Writer, r.Seq = d.Writer, r.Seq+1
+		r.Trail = append(r.Trail, claim.Event{At: now, What: "cancelled by its user"})
+		txn := state.Txn{When: []state.Cond{{Key: claim.JobKey(id), Stamp: e.Stamp}}}
+		limit := int(d.Set.Params.State.ValueKB * 1024)
+		queued := len(r.Places) == 0
+		if queued {
+			r.Status = claim.Cancelled
+			raw, _ := r.Encode(limit)
+			txn.When = append(txn.When, state.Cond{Key: claim.EndKey(id)})
+			txn.Then = []state.Op{{Remove: claim.JobKey(id)}, {Put: claim.EndKey(id), Value: raw}}
+		} else {
+			r.Status = claim.Cancelling
+			raw, _ := r.Encode(limit)
+			txn.Then = []state.Op{{Put: claim.JobKey(id), Value: raw}}
+		}
+		epoch, err := d.State.Commit(ctx, txn, state.Spare)
+		var conflict *state.Conflict
+		switch {
+		case err == nil:
+			if queued {
+				d.remember(r)
+				d.Teller.Tell(id, ids.Stamp(epoch), nil, nil)
+			} else {
+				d.Teller.Tell(id, ids.Stamp(epoch), r, txn.Then[0].Value)
+			}
+			return tell(r), true, nil
+		case errors.As(err, &conflict):
+			continue // the owner wrote meanwhile: look again
+		default:
+			return answer{}, false, fmt.Errorf("%w: %v", errNotNow, err)
+		}
+	}
+	return answer{}, false, errNotNow
+}
+
+// Explain is a job's stored trail.
+func (d *Desk) Explain(ctx context.Context, id ids.Job) (*claim.Record, error) {
+	r, _, err := d.read(ctx, id, state.Spare)
+	return r, err
+}
--- /dev/null
+++ b/internal/intake/http.go
@@ -0,0 +1,206 @@
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/pebbletrail/pebbletrail/internal/claim"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/worker"
+)
+
+// Beats answers workers' reports.
+type Beats interface {
+	Beat(ctx context.Context, rep *worker.Report) (*worker.Reply, int, worker.Redirect)
+}
+
+// Site is what the HTTP side needs beside the desk.
+type Site struct {
+	Desk  *Desk
+	Beats Beats
+	// Ready tells whether the node can take requests.
+	Ready func() bool
+	// Live explains a job as the pool's owner sees it.
+	Live func(ctx context.Context, id ids.Job) (lines []string, owner ids.Node, err error)
+	// Status describes the node.
+	Status func() any
+}
+
+// Explanation is the answer of GET /v2/runs/{id}/explain.
+type Explanation struct {
+	UID    ids.Job       `json:"uid"`
+	Status string        `json:"status"`
+	Trail  []claim.Event `json:"trail"`
+	Now    []string      `json:"now,omitempty"`
+	Owner  ids.Node      `json:"owner,omitempty"`
+	Note   string        `json:"note,omitempty"`
+}
+
+// Handler builds the routes.
+func (s *Site) Handler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.POST("/agent/beat", s.beat)
+	e.GET("/up", func(c echo.Context) error {
+		if !s.Ready() {
+			return c.NoContent(503)
+		}
+		return c.NoContent(200)
+	})
+	e.POST("/v2/runs", s.submit)
+	e.GET("/v2/runs/:id", s.look)
+	e.POST("/v2/runs/:id/cancel", s.cancel)
+	e.GET("/v2/runs/:id/explain", s.explain)
+	e.GET("/v2/status", func(c echo.Context) error { return c.JSON(200, s.Status()) })
+	return e
+}
+
+func (s *Site) beat(c echo.Context) error {
+	rep := &worker.Report{}
+	if err := json.NewDecoder(io.LimitReader(c.Request().Body, 16<<20)).Decode(rep); err != nil || rep.Machine == "" {
+		return c.JSON(400, map[string]string{"error": "not a report"})
+	}
+	reply, status, to := s.Beats.Beat(c.Request().Context(), rep)
+	if reply != nil {
+		return c.JSON(status, reply)
+	}
+	return c.JSON(status, to)
+}
+
+// later answers at once that this can't be done now, and when to come back.
+func (s *Site) later(c echo.Context) error {
+	after := s.Desk.State.Budget().RetryAfter()
+	c.Response().Header().Set("Retry-After", retryAfter(after))
+	return c.JSON(503, map[string]string{"error": "not now"})
+}
+
+func retryAfter(d time.Duration) string {
+	n := max(1, int((d+time.Second-1)/time.Second))
+	return strconv.Itoa(n)
+}
+
+func (s *Site) fail(c echo.Context, err error) error {
+	var never errNever
+	if errors.As(err, &never) {
+		return c.JSON(422, map[string]string{"error": never.why})
+	}
+	return s.later(c)
+}
+
+// userPatience bounds the work on a user's call; users give up after 5 s.
+const userPatience = 3500 * time.Millisecond
+
+func (s *Site) submit(c echo.Context) error {
+	ctx, cancel := context.WithTimeout(c.Request().Context(), userPatience)
+	defer cancel()
+	spec, err := parse(c.Request().Body)
+	if err != nil {
+		return c.JSON(400, map[string]string{"error": err.Error()})
+	}
+	a, known, err := s.Desk.Submit(ctx, spec)
+	if err != nil {
+		return s.fail(c, err)
+	}
+	if known {
+		return c.JSON(200, a)
+	}
+	return c.JSON(201, a)
+}
+
+func (s *Site) one(c echo.Context, patience time.Duration, f func(context.Context, ids.Job) (any, bool, error)) error {
+	id, err := ids.ParseJob(c.Param("id"))
+	if err != nil {
+		return c.JSON(404, map[string]string{"error": "no such job"})
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), patience)
+	defer cancel()
+	a, found, err := f(ctx, id)
+	switch {
+	case err != nil:
+		return s.fail(c, err)
+	case !found:
+		return c.JSON(404, map[string]string{"error": "no such job"})
+	}
+	return c.JSON(200, a)
+}
+
+func (s *Site) look(c echo.Context) error {
+	return s.one(c, 1800*time.Millisecond, func(ctx context.Context, id ids.Job) (any, bool, error) {
+		return wrap(s.Desk.Look(ctx, id))
+	})
+}
+
+func (s *Site) cancel(c echo.Context) error {
+	return s.one(c, userPatience, func(ctx context.Context, id ids.Job) (any, bool, error) {
+		return wrap(s.Desk.Cancel(ctx, id))
+	})
+}
+
+func wrap(a answer, found bool, err error) (any, bool, error) { return a, found, err }
+
+func (s *Site) explain(c echo.Context) error {
+	return s.one(c, userPatience, func(ctx context.Context, id ids.Job) (any, bool, error) {
+		r, err := s.Desk.Explain(ctx, id)
+		if err != nil || r == nil {
+			return nil, false, err
+		}
+		x := Explanation{UID: id, Status: tell(r).Status, Trail: r.Trail}
+		if !r.Status.Over() {
+			x.Now, x.Owner, err = s.Live(ctx, id)
+			if err != nil {
+				x.Note = "the pool's owner could not be asked: " + err.Error()
+			}
+		}
+		return x, true, nil
+	})
+}
+
+// Serve runs the HTTP side on ln, holding at most most connections: beyond
+// that new ones are closed at once, so that sockets for the calls of our own
+// remain.
+func (s *Site) Serve(ln net.Listener, most int) error {
+	srv := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 20 * time.Second,
+		WriteTimeout: 20 * time.Second, IdleTimeout: 75 * time.Second, MaxHeaderBytes: 16 << 10}
+	return srv.Serve(&capped{Listener: ln, most: int64(most)})
+}
+
+type capped struct {
+	net.Listener
+	most, open int64
+}
+
+func (l *capped) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if atomic.AddInt64(&l.open, 1) > l.most {
+			atomic.AddInt64(&l.open, -1)
+			c.Close()
+			continue
+		}
+		return &counted{Conn: c, l: l}, nil
+	}
+}
+
+type counted struct {
+	net.Conn
+	l    *capped
+	once sync.Once
+}
+
+func (c *counted) Close() error {
+	c.once.Do(func() { atomic.AddInt64(&c.l.open, -1) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,292 @@
+// Package peer lets the controllers talk to one another, by gob over TCP. All
+// of it only saves time: whatever must be true is in the state service.
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/claim"
+	"github.com/pebbletrail/pebbletrail/internal/config"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/state"
+)
+
+// Wrote tells of a job's record just written; Raw is empty when it went away.
+type Wrote struct {
+	Job   ids.Job
+	Stamp ids.Stamp
+	Raw   []byte
+}
+
+// Asked is a question about one job.
+type Asked struct{ Job ids.Job }
+
+// Lines is a text answer.
+type Lines struct{ Lines []string }
+
+// Took announces a takeover.
+type Took struct{ Generation ids.Generation }
+
+// Confirmed answers it.
+type Confirmed struct{ Stopped bool }
+
+// Hello tells how a node fares; peers exchange it once a second.
+type Hello struct {
+	Node    ids.Node
+	StateOK bool
+}
+
+// Empty is no answer.
+type Empty struct{}
+
+// Service is what a controller does for the others.
+type Service struct{ link *Link }
+
+// Learn takes in another controller's write.
+func (s *Service) Learn(w *Wrote, _ *Empty) error {
+	if len(w.Raw) == 0 {
+		s.link.pool.Learn(w.Job, w.Stamp, nil)
+		return nil
+	}
+	rec, err := claim.Decode(json.RawMessage(w.Raw))
+	if err != nil {
+		return err
+	}
+	s.link.pool.Learn(w.Job, w.Stamp, rec)
+	return nil
+}
+
+// Explain answers why a job's tasks wait, if this node owns the pool.
+func (s *Service) Explain(a *Asked, out *Lines) error {
+	b := s.link.pool.Book()
+	if b == nil {
+		return errors.New("not the owner")
+	}
+	out.Lines = b.Explain(a.Job)
+	return nil
+}
+
+// Stopped confirms that no beats are answered under older generations.
+func (s *Service) Stopped(t *Took, out *Confirmed) error {
+	out.Stopped = s.link.pool.Superseded(t.Generation)
+	return nil
+}
+
+// Greet exchanges how the nodes fare.
+func (s *Service) Greet(h *Hello, out *Hello) error {
+	s.link.note(h)
+	*out = s.link.hello()
+	return nil
+}
+
+// Link is this node's connections to the others.
+type Link struct {
+	set   *config.Settings
+	pool  *claim.Pool
+	state *state.Client
+
+	mu    sync.Mutex
+	conns map[ids.Node]*rpc.Client
+	seen  map[ids.Node]seen
+}
+
+type seen struct {
+	at      time.Time
+	stateOK bool
+}
+
+// NewLink makes the link; it serves once Serve is called.
+func NewLink(set *config.Settings, pool *claim.Pool, st *state.Client) *Link {
+	return &Link{set: set, pool: pool, state: st, conns: map[ids.Node]*rpc.Client{}, seen: map[ids.Node]seen{}}
+}
+
+// Serve answers the others on l until it closes.
+func (l *Link) Serve(ln net.Listener) {
+	srv := rpc.NewServer()
+	if err := srv.RegisterName("Peer", &Service{l}); err != nil {
+		slog.Error("peer service", "err", err)
+		return
+	}
+	slots := make(chan struct{}, 16*max(1, len(l.set.Others)))
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			slog.Error("peer listener", "err", err)
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			c.Close()
+			continue
+		}
+		go func() {
+			defer func() { <-slots }()
+			srv.ServeConn(&idleConn{c})
+		}()
+	}
+}
+
+// idleConn gives up a connection on which nothing came for long: the other
+// side greets every second, and a cut says nothing.
+type idleConn struct{ net.Conn }
+
+func (c *idleConn) Read(p []byte) (int, error) {
+	c.SetReadDeadline(time.Now().Add(30 * time.Second))
+	return c.Conn.Read(p)
+}
+
+func (c *idleConn) Write(p []byte) (int, error) {
+	c.SetWriteDeadline(time.Now().Add(5 * time.Second))
+	return c.Conn.Write(p)
+}
+
+const callTimeout = time.Second
+
+// call asks one other node, on a kept connection; a call that takes too long
+// drops the connection.
+func (l *Link) call(ctx context.Context, to ids.Node, method string, in, out any) error {
+	l.mu.Lock()
+	c := l.conns[to]
+	l.mu.Unlock()
+	if c == nil {
+		addr := ""
+		for _, o := range l.set.Others {
+			if o.HostName == to {
+				addr = o.PeerAddr
+			}
+		}
+		if addr == "" {
+			return errors.New("unknown node " + string(to))
+		}
+		d := net.Dialer{Timeout: callTimeout}
+		conn, err := d.DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return err
+		}
+		c = rpc.NewClient(&idleConn{conn})
+		l.mu.Lock()
+		if old := l.conns[to]; old != nil {
+			c.Close()
+			c = old
+		} else {
+			l.conns[to] = c
+		}
+		l.mu.Unlock()
+	}
+	pending := c.Go("Peer."+method, in, out, make(chan *rpc.Call, 1))
+	var err error
+	select {
+	case <-pending.Done:
+		err = pending.Error
+		var remote rpc.ServerError
+		if err == nil || errors.As(err, &remote) {
+			return err
+		}
+	case <-time.After(callTimeout):
+		err = errors.New("peer does not answer")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	l.mu.Lock()
+	if l.conns[to] == c {
+		delete(l.conns, to)
+	}
+	l.mu.Unlock()
+	c.Close()
+	return err
+}
+
+// AllStopped asks every other controller whether it has stopped answering.
+func (l *Link) AllStopped(ctx context.Context, gen ids.Generation) bool {
+	all := true
+	for _, o := range l.set.Others {
+		var out Confirmed
+		if err := l.call(ctx, o.HostName, "Stopped", &Took{gen}, &out); err != nil || !out.Stopped {
+			all = false
+		}
+	}
+	return all
+}
+
+// Tell passes a write on to the pool's owner, wherever it is.
+func (l *Link) Tell(id ids.Job, stamp ids.Stamp, rec *claim.Record, raw json.RawMessage) {
+	if l.pool.Book() != nil {
+		l.pool.Learn(id, stamp, rec)
+		return
+	}
+	owner, ok := l.pool.Owner()
+	if !ok {
+		return
+	}
+	go func() {
+		if err := l.call(context.Background(), owner, "Learn", &Wrote{id, stamp, raw}, &Empty{}); err != nil {
+			slog.Debug("owner not told", "job", id, "err", err)
+		}
+	}()
+}
+
+// Explain asks the owner why a job's tasks wait.
+func (l *Link) Explain(ctx context.Context, id ids.Job) ([]string, ids.Node, error) {
+	if b := l.pool.Book(); b != nil {
+		return b.Explain(id), l.set.HostName, nil
+	}
+	owner, ok := l.pool.Owner()
+	if !ok {
+		return nil, "", errors.New("the pool has no owner now")
+	}
+	var out Lines
+	err := l.call(ctx, owner, "Explain", &Asked{id}, &out)
+	return out.Lines, owner, err
+}
+
+func (l *Link) hello() Hello {
+	age, ok := l.state.SinceGood()
+	return Hello{Node: l.set.HostName, StateOK: ok && age < 3*time.Second}
+}
+
+func (l *Link) note(h *Hello) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seen[h.Node] = seen{time.Now(), h.StateOK}
+}
+
+// OthersServed tells whether some other controller has lately been served by
+// the state service.
+func (l *Link) OthersServed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.seen {
+		if s.stateOK && time.Since(s.at) < 3*time.Second {
+			return true
+		}
+	}
+	return false
+}
+
+// Run greets the others until the context ends.
+func (l *Link) Run(ctx context.Context) {
+	for _, o := range l.set.Others {
+		go func() {
+			for ctx.Err() == nil {
+				h := l.hello()
+				var out Hello
+				if err := l.call(ctx, o.HostName, "Greet", &h, &out); err == nil {
+					l.note(&out)
+				}
+				select {
+				case <-ctx.Done():
+				case <-time.After(time.Second):
+				}
+			}
+		}()
+	}
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,155 @@
+// Package placement holds the pure decisions: which machine a task goes to,
+// whom it may displace, and what to rent. It keeps no state and does no calls.
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+)
+
+// Room is an amount of each resource.
+type Room struct{ Cores, Accels, RAM float64 }
+
+// Plus, Minus and Times do arithmetic on amounts.
+func (r Room) Plus(o Room) Room {
+	return Room{r.Cores + o.Cores, r.Accels + o.Accels, r.RAM + o.RAM}
+}
+
+// Minus subtracts.
+func (r Room) Minus(o Room) Room {
+	return Room{r.Cores - o.Cores, r.Accels - o.Accels, r.RAM - o.RAM}
+}
+
+// Times multiplies.
+func (r Room) Times(n float64) Room { return Room{r.Cores * n, r.Accels * n, r.RAM * n} }
+
+const eps = 1e-6
+
+// Holds tells whether o fits into r.
+func (r Room) Holds(o Room) bool {
+	return o.Cores <= r.Cores+eps && o.Accels <= r.Accels+eps && o.RAM <= r.RAM+eps
+}
+
+// Count is how many times o fits into r, at most limit.
+func (r Room) Count(o Room, limit int) int {
+	n := limit
+	for _, p := range [][2]float64{{r.Cores, o.Cores}, {r.Accels, o.Accels}, {r.RAM, o.RAM}} {
+		if p[1] > eps {
+			n = min(n, int((p[0]+eps)/p[1]))
+		}
+	}
+	return max(n, 0)
+}
+
+// Type is a machine type on offer.
+type Type struct {
+	Label      string      `json:"label"`
+	Cores      float64     `json:"cores"`
+	Accels     float64     `json:"accelerators"`
+	RAM        float64     `json:"ramGb"`
+	CacheGB    float64     `json:"localGb"`
+	PullGBPerS float64     `json:"pullGbPerS"`
+	Price      float64     `json:"price"`
+	SpotPrice  float64     `json:"marketPrice"`
+	BootS      ids.Seconds `json:"bootS"`
+	Zones      []string    `json:"yards"`
+}
+
+// Room is the type's whole capacity.
+func (t Type) Room() Room { return Room{t.Cores, t.Accels, t.RAM} }
+
+// PriceOf is the hourly price of its spot or ordinary kind.
+func (t Type) PriceOf(spot bool) float64 {
+	if spot {
+		return t.SpotPrice
+	}
+	return t.Price
+}
+
+// Ask is what one task wants of its machine.
+type Ask struct {
+	Need    Room
+	Types   []string // nil: any
+	Zone    string   // empty: any
+	Spot    bool     // spot machines allowed
+	Image   string
+	ImageGB float64
+}
+
+// Allows tells whether the ask may run on such a machine at all.
+func (a *Ask) Allows(label, zone string, spot bool) bool {
+	if spot && !a.Spot || a.Zone != "" && a.Zone != zone {
+		return false
+	}
+	return a.Types == nil || slices.Contains(a.Types, label)
+}
+
+// Machine is a machine as placement sees it.
+type Machine struct {
+	Name  ids.Machine
+	Type  *Type
+	Zone  string
+	Spot  bool
+	Free  Room
+	Warm  bool // holds the image asked for
+	Avoid bool // failed this very task before
+	Held  bool // its room was freed for somebody else
+}
+
+// Zoner tells whether one more task of the job may go to a zone.
+type Zoner func(zone string) bool
+
+// Pick returns the index of the best fit among sampled machines, or -1. A miss
+// widens the sample to all machines; so does a sample in which no machine that
+// fits has the image, since a fetch costs more than a longer look.
+func Pick(rng *rand.Rand, ms []Machine, a *Ask, zone Zoner, sample int) int {
+	if len(ms) == 0 {
+		return -1
+	}
+	best, bestScore := -1, 0.0
+	look := func(i int) {
+		m := &ms[i]
+		if m.Held || !a.Allows(m.Type.Label, m.Zone, m.Spot) || !m.Free.Holds(a.Need) || zone != nil && !zone(m.Zone) {
+			return
+		}
+		if s := Score(m, a); best < 0 || s < bestScore {
+			best, bestScore = i, s
+		}
+	}
+	if sample < len(ms) {
+		for range sample {
+			look(rng.IntN(len(ms)))
+		}
+		if best >= 0 && ms[best].Warm && !ms[best].Avoid {
+			return best
+		}
+	}
+	for i := range ms {
+		look(i)
+	}
+	return best
+}
+
+// Score is the price of a choice in rough seconds; less is better. Fetching
+// counts as the time it takes; leftover room as fragmentation; a machine with
+// accelerators or an ordinary one is kept for those that need it.
+func Score(m *Machine, a *Ask) float64 {
+	s := 0.0
+	if !m.Warm {
+		s += a.ImageGB / max(m.Type.PullGBPerS, 0.01)
+	}
+	left := m.Free.Minus(a.Need)
+	s += 2 * (left.Cores/max(m.Type.Cores, 1) + left.RAM/max(m.Type.RAM, 1))
+	if a.Need.Accels == 0 && m.Type.Accels > 0 {
+		s += 3
+	}
+	if a.Spot && !m.Spot {
+		s += 2
+	}
+	if m.Avoid {
+		s += 1000
+	}
+	return s
+}
--- /dev/null
+++ b/internal/placement/rent.go
@@ -0,0 +1,151 @@
+package placement
+
+import "github.com/pebbletrail/pebbletrail/internal/ids"
+
+// Demand is room that is wanted: for tasks that wait, or kept free for work
+// that must start sooner than a machine boots.
+type Demand struct {
+	Ask     Ask
+	Count   int
+	Spread  bool // prefer the zone with the least so far
+	Preempt bool // may displace what runs on an array's room
+	Keep    bool // not waiting yet: only holds room free
+}
+
+// Up is a machine that is there or on its way.
+type Up struct {
+	Name   ids.Machine
+	Type   *Type
+	Zone   string
+	Spot   bool
+	Free   Room // not taken by anything
+	Turn   Room // taken by tasks that end by themselves or may be displaced
+	Coming bool
+	Idle   bool // has no task
+}
+
+// Hire is one rental to make.
+type Hire struct {
+	Type  string
+	Zone  string
+	Spot  bool
+	Count int
+}
+
+// Offers tells whether a rental is worth asking for: not refused just now.
+type Offers func(label, zone string, spot bool) bool
+
+// Rent decides what to hire for the demands that the machines at hand and on
+// their way do not cover, and which idle machines stay needed. Demands come in
+// order of importance.
+func Rent(ds []Demand, ups []Up, types []*Type, ok Offers) (hires []Hire, needed map[ids.Machine]bool) {
+	needed = map[ids.Machine]bool{}
+	perZone := map[string]int{}
+	for _, u := range ups {
+		perZone[u.Zone]++
+	}
+	// Busy machines first, then the cheapest: what is left idle can go.
+	order := make([]int, 0, len(ups))
+	for i := range ups {
+		order = append(order, i)
+	}
+	sortBy(order, func(i int) float64 {
+		u := &ups[i]
+		k := u.Type.PriceOf(u.Spot)
+		if u.Idle {
+			k += 1e6
+		}
+		if u.Coming {
+			k += 5e5
+		}
+		return k
+	})
+	for _, d := range ds {
+		left := d.Count
+		for _, i := range order {
+			if left == 0 {
+				break
+			}
+			u := &ups[i]
+			if !d.Ask.Allows(u.Type.Label, u.Zone, u.Spot) {
+				continue
+			}
+			room := u.Free
+			if !d.Keep || d.Preempt {
+				room = room.Plus(u.Turn)
+			}
+			n := room.Count(d.Ask.Need, left)
+			if n == 0 {
+				continue
+			}
+			left -= n
+			needed[u.Name] = true
+			take := d.Ask.Need.Times(float64(n))
+			u.Free = u.Free.Minus(take)
+			if short := (Room{}).Minus(u.Free).positive(); short != (Room{}) {
+				u.Free, u.Turn = u.Free.Plus(short), u.Turn.Minus(short)
+			}
+		}
+		for left > 0 {
+			h, t, n := cheapest(&d, left, types, perZone, ok)
+			if n == 0 {
+				break
+			}
+			left -= n
+			perZone[h.Zone]++
+			hires = join(hires, h)
+			ups = append(ups, Up{Type: t, Zone: h.Zone, Spot: h.Spot, Coming: true, Free: t.Room().Minus(d.Ask.Need.Times(float64(n)))})
+			order = append(order, len(ups)-1)
+		}
+	}
+	return hires, needed
+}
+
+func (r Room) positive() Room { return Room{max(r.Cores, 0), max(r.Accels, 0), max(r.RAM, 0)} }
+
+func sortBy(order []int, key func(int) float64) {
+	for i := 1; i < len(order); i++ {
+		for k := i; k > 0 && key(order[k]) < key(order[k-1]); k-- {
+			order[k], order[k-1] = order[k-1], order[k]
+		}
+	}
+}
+
+// cheapest finds the offer with the lowest price per task it would take.
+func cheapest(d *Demand, left int, types []*Type, perZone map[string]int, ok Offers) (Hire, *Type, int) {
+	var best Hire
+	var bestType *Type
+	bestN, bestCost := 0, 0.0
+	for _, t := range types {
+		for _, spot := range []bool{true, false} {
+			for _, z := range t.Zones {
+				if !d.Ask.Allows(t.Label, z, spot) || !ok(t.Label, z, spot) {
+					continue
+				}
+				n := t.Room().Count(d.Ask.Need, left)
+				if n == 0 {
+					continue
+				}
+				cost := t.PriceOf(spot) / float64(n)
+				if d.Ask.Need.Accels == 0 && t.Accels > 0 {
+					cost *= 4
+				}
+				cost *= 1 + 0.01*float64(perZone[z])
+				if bestN == 0 || cost < bestCost {
+					best, bestType, bestN, bestCost = Hire{t.Label, z, spot, 1}, t, n, cost
+				}
+			}
+		}
+	}
+	return best, bestType, bestN
+}
+
+func join(hs []Hire, h Hire) []Hire {
+	for i := range hs {
+		if hs[i].Type == h.Type && hs[i].Zone == h.Zone && hs[i].Spot == h.Spot {
+			hs[i].Count += h.Count
+			return hs
+		}
+	}
+	return append(hs, h)
+}
--- /dev/null
+++ b/internal/state/budget.go
@@ -0,0 +1,122 @@
+package state
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Urgency orders calls when there are more than the limits allow.
+type Urgency int
+
+const (
+	// Urgent: renewals, settlements and markers, which keep what runs alive.
+	Urgent Urgency = iota
+	// Normal: news and housekeeping; waits.
+	Normal
+	// Spare: users' calls; refused at once while little is left, because a
+	// user told when to come back is better off than one kept waiting.
+	Spare
+)
+
+// reserve is the share of a bucket that less urgent calls leave untouched.
+var reserve = [...]float64{Urgent: 0, Normal: 0.25, Spare: 0.15}
+
+// maxWait bounds how long a call waits for tokens.
+var maxWait = [...]time.Duration{Urgent: time.Second, Normal: 2 * time.Second, Spare: 0}
+
+// Budget keeps one controller inside its part of the store's limits. The parts
+// of all controllers add up to less than the whole, whoever owns the pool.
+type Budget struct {
+	mu        sync.Mutex
+	calls     *rate.Limiter
+	writes    *rate.Limiter
+	rps, wps  float64
+	own, rest float64
+}
+
+// headroom leaves a little of the limits unused: clocks drift, and a takeover
+// briefly makes two owners.
+const headroom = 0.92
+
+// NewBudget splits the limits among n controllers, of which the pool's owner
+// gets ownerShare.
+func NewBudget(rps, wps float64, n int, ownerShare float64) *Budget {
+	b := &Budget{rps: rps * headroom, wps: wps * headroom, own: 1, rest: 1}
+	if n > 1 {
+		b.own, b.rest = ownerShare, (1-ownerShare)/float64(n-1)
+	}
+	b.calls = rate.NewLimiter(0, 0)
+	b.writes = rate.NewLimiter(0, 0)
+	b.SetOwner(false)
+	return b
+}
+
+// SetOwner changes to the owner's part or back.
+func (b *Budget) SetOwner(owner bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	share := b.rest
+	if owner {
+		share = b.own
+	}
+	set := func(l *rate.Limiter, v float64) {
+		l.SetLimit(rate.Limit(v * share))
+		l.SetBurst(max(4, int(v*share)))
+	}
+	set(b.calls, b.rps)
+	set(b.writes, b.wps)
+}
+
+// WriteBurst is the most changes one transaction may carry now.
+func (b *Budget) WriteBurst() int { return b.writes.Burst() }
+
+// RetryAfter is when a refused user may find tokens again.
+func (b *Budget) RetryAfter() time.Duration {
+	return time.Second
+}
+
+func (b *Budget) take(ctx context.Context, u Urgency, writes int) error {
+	deadline := time.Now().Add(maxWait[u])
+	for {
+		b.mu.Lock()
+		wait := b.shortfall(u, writes)
+		if wait <= 0 {
+			b.calls.AllowN(time.Now(), 1)
+			if writes > 0 {
+				b.writes.AllowN(time.Now(), writes)
+			}
+			b.mu.Unlock()
+			return nil
+		}
+		b.mu.Unlock()
+		if time.Now().Add(wait).After(deadline) {
+			return fmt.Errorf("%w: own budget", ErrRefused)
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%w: own budget: %v", ErrRefused, ctx.Err())
+		case <-time.After(wait):
+		}
+	}
+}
+
+// shortfall is how long until the call could be let through.
+func (b *Budget) shortfall(u Urgency, writes int) time.Duration {
+	lack := func(l *rate.Limiter, n float64) time.Duration {
+		need := min(n+reserve[u]*float64(l.Burst()), float64(l.Burst()))
+		miss := need - l.Tokens()
+		if miss <= 0 {
+			return 0
+		}
+		return time.Duration(miss/float64(l.Limit())*float64(time.Second)) + time.Millisecond
+	}
+	wait := lack(b.calls, 1)
+	if writes > 0 {
+		wait = max(wait, lack(b.writes, float64(writes)))
+	}
+	return wait
+}
--- /dev/null
+++ b/internal/worker/commander.go
@@ -0,0 +1,74 @@
+package worker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+)
+
+// Outcome of direct commands.
+type Outcome int
+
+const (
+	// Carried: 200, the report shows the effects.
+	Carried Outcome = iota
+	// Refused: 409, nothing was executed.
+	Refused
+	// NotSent: no connection came about, so nothing can arrive later.
+	NotSent
+	// Uncertain: it may have been, or may yet be, carried out.
+	Uncertain
+)
+
+// Commander sends commands straight to a worker's address. Quick starts go
+// this way; what it cannot settle, the beats do.
+type Commander struct {
+	HTTP    *http.Client
+	Timeout time.Duration
+}
+
+// Send posts the orders and returns the worker's report if it gave one.
+func (c *Commander) Send(ctx context.Context, addr string, token ids.Generation, s ids.Session, orders []Order) (Outcome, *Report) {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	raw, err := json.Marshal(Reply{Token: token, Session: s, Orders: orders})
+	if err != nil {
+		return NotSent, nil
+	}
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+addr+"/commands", bytes.NewReader(raw))
+	if err != nil {
+		return NotSent, nil
+	}
+	// Without GetBody the transport cannot resend on a connection that broke:
+	// a command is never sent twice behind our back.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	res, err := c.HTTP.Do(req)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return NotSent, nil
+		}
+		return Uncertain, nil
+	}
+	defer res.Body.Close()
+	rep := &Report{}
+	if err := json.NewDecoder(res.Body).Decode(rep); err != nil {
+		return Uncertain, nil
+	}
+	switch res.StatusCode {
+	case 200:
+		return Carried, rep
+	case 409:
+		return Refused, rep
+	case 400:
+		return NotSent, nil
+	}
+	return Uncertain, nil
+}
--- /dev/null
+++ b/internal/worker/roster.go
@@ -0,0 +1,177 @@
+package worker
+
+import (
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+)
+
+// Late is a start sent straight to a worker that got no answer: it may yet be
+// carried out, minutes later, while session and token still match.
+type Late struct {
+	Task    string
+	Attempt ids.Attempt
+	Token   ids.Generation
+	Session ids.Session
+}
+
+// Machine is what is known of one machine. It is guarded by the lock of the
+// book it belongs to: places, quotas and machines need one view.
+type Machine struct {
+	Name ids.Machine
+	Addr string
+	Type string
+	Zone string
+	Spot bool
+
+	Heard   bool // has reported to this owner
+	Session ids.Session
+	Tick    ids.Tick
+	Token   ids.Generation
+	Seen    time.Time // when the newest report came in
+	LapseAt time.Time // from here on its worker has surely ended every task
+	TakenAt time.Time // zero without a spot notice
+	Pieces  []Piece
+
+	Born      time.Time // when this owner first knew of it
+	HeldSince time.Time // rental, as far as known
+	Booting   bool      // hired, not heard yet
+	Draining  string    // why nothing new goes there; empty: in use
+	Failed    bool      // the cloud says it stopped by itself
+	Deleting  bool
+	IdleSince time.Time
+	Faults    int
+	Lates     []Late
+	Images    Images
+}
+
+// Roster is all machines by name.
+type Roster struct {
+	Machines map[ids.Machine]*Machine
+	lease    ids.Seconds
+}
+
+// NewRoster makes an empty roster for workers with the given lease.
+func NewRoster(lease ids.Seconds) *Roster {
+	return &Roster{Machines: map[ids.Machine]*Machine{}, lease: lease}
+}
+
+// Ensure finds or adds a machine. notBefore is the earliest time at which an
+// unheard machine's lease can be trusted to have lapsed: a predecessor may
+// still have been answering it.
+func (r *Roster) Ensure(name ids.Machine, now, notBefore time.Time) *Machine {
+	m := r.Machines[name]
+	if m == nil {
+		m = &Machine{Name: name, Born: now, IdleSince: now, LapseAt: notBefore, HeldSince: now, Seen: now}
+		r.Machines[name] = m
+	}
+	return m
+}
+
+// Verdict is what a report means beside its list of tasks.
+type Verdict struct {
+	Fresh bool // newer than all before; only then its list counts
+	Moved bool // the session rose: everything of earlier ones is gone
+}
+
+// Note takes in a report. answered tells that the worker gets a 200 for it,
+// which gives its lease full time from when it was sent, so at most from now.
+// fenced is the present owner's token: a worker that has seen it drops the
+// answers of every earlier owner, so that only ours renew its lease.
+func (r *Roster) Note(m *Machine, rep *Report, now time.Time, answered bool, fenced ids.Generation) Verdict {
+	// A held-back report of an earlier life or list says nothing new.
+	if m.Heard && (rep.Session < m.Session || rep.Session == m.Session && rep.Tick <= m.Tick) {
+		if answered && rep.Session == m.Session {
+			m.LapseAt = later(m.LapseAt, now.Add(r.lease.Drifted()))
+		}
+		return Verdict{}
+	}
+	v := Verdict{Fresh: true, Moved: m.Heard && rep.Session > m.Session}
+	m.Heard, m.Booting = true, false
+	m.Addr, m.Type, m.Zone, m.Spot = rep.Addr, rep.Type, rep.Zone, rep.Spot
+	m.Session, m.Tick, m.Seen = rep.Session, rep.Tick, now
+	if rep.Token > m.Token {
+		m.Token = rep.Token
+	}
+	m.Pieces = rep.Pieces
+	m.TakenAt = time.Time{}
+	if rep.Warning != nil {
+		m.TakenAt = now.Add(rep.Warning.Duration())
+	}
+	if answered {
+		lapse := now.Add(r.lease.Drifted())
+		if rep.Token < fenced {
+			lapse = later(m.LapseAt, lapse)
+		}
+		m.LapseAt = lapse
+	}
+	kept := m.Lates[:0]
+	for _, l := range m.Lates {
+		// A moved session or a higher token turns the late start away.
+		if l.Session == m.Session && l.Token >= m.Token {
+			kept = append(kept, l)
+		}
+	}
+	m.Lates = kept
+	return v
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// MayRevive tells whether clearing this attempt could let a late start begin
+// it anew.
+func (m *Machine) MayRevive(task string, a ids.Attempt) bool {
+	for _, l := range m.Lates {
+		if l.Task == task && l.Attempt == a {
+			return true
+		}
+	}
+	return false
+}
+
+// Silent is how long nothing has come from the machine.
+func (m *Machine) Silent(now time.Time) time.Duration { return now.Sub(m.Seen) }
+
+// Usable tells whether new tasks may go there.
+func (m *Machine) Usable(now time.Time, report ids.Seconds) bool {
+	return m.Heard && m.Draining == "" && !m.Failed && !m.Deleting && m.TakenAt.IsZero() &&
+		m.Silent(now) < 2*report.Duration()+time.Second
+}
+
+// Images guesses which images a machine still holds: the most recently used
+// that fit its cache. Workers do not report them.
+type Images struct {
+	names []string
+	sizes []float64
+}
+
+// Use moves an image to the front and drops what no longer fits.
+func (im *Images) Use(name string, gb, cache float64) {
+	names, sizes := []string{name}, []float64{gb}
+	sum := gb
+	for i, n := range im.names {
+		if n == name {
+			continue
+		}
+		if sum += im.sizes[i]; sum > cache {
+			break
+		}
+		names, sizes = append(names, n), append(sizes, im.sizes[i])
+	}
+	im.names, im.sizes = names, sizes
+}
+
+// Has tells whether the image is likely there.
+func (im *Images) Has(name string) bool {
+	for _, n := range im.names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
