--- a/internal/claim/pool.go
+++ b/internal/claim/pool.go
@@ -418,12 +418,14 @@
 		return nil, 503, worker.Redirect{}
 	}
 	gen := t.Book.Generation()
-	// An answer with a token below the worker's is dropped and renews nothing.
-	orders := t.Book.Observe(rep, rep.Token <= gen, true)
-	if orders == nil {
-		orders = []worker.Order{}
-	}
 	if rep.Token > gen {
+		// The worker has heard of a later owner. It would drop our answer and
+		// yet stay with us, so it is sent on.
+		p.stepDown(t, "a worker has seen a higher token")
+		return nil, 503, worker.Redirect{}
+	}
+	orders := t.Book.Observe(rep, true, true)
+	if orders == nil {
 		orders = []worker.Order{}
 	}
 	return &worker.Reply{Token: gen, Orders: orders}, 200, worker.Redirect{}
--- /dev/null
+++ b/internal/claim/stories_test.go
@@ -0,0 +1,341 @@
+package claim_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/fake"
+)
+
+func TestAnArrayRunsToItsEndAndStaysDone(t *testing.T) {
+	story(t, func(t *testing.T, w *world) {
+		w.start("a")
+		w.start("b")
+		w.worker("m1", "north")
+		w.until(15*time.Second, "a beat answered", func() bool { return w.store.Value("pool/owner") != nil })
+		time.Sleep(8 * time.Second)
+		w.submit("b", spec("job-1", "array", 2))
+		w.until(3*time.Second, "both tasks started quickly", func() bool { return len(w.on("job-1/0")) == 1 && len(w.on("job-1/1")) == 1 })
+		w.worn("m1").End("job-1/0", "done")
+		time.Sleep(5 * time.Second)
+		if s := w.status("a", "job-1"); s != "running" {
+			t.Fatalf("half done, but called %q", s)
+		}
+		w.worn("m1").End("job-1/1", "done")
+		w.until(4*time.Second, "told done", func() bool { return w.status("a", "job-1") == "done" && w.status("b", "job-1") == "done" })
+		// A repeat may come at any later time and gets the state, not a new job.
+		time.Sleep(3 * time.Minute)
+		if code, out := w.call("b", "POST", "/v2/runs", spec("job-1", "array", 2)); code != 200 || out["status"] != "done" {
+			t.Fatalf("a late repeat got %d %v", code, out)
+		}
+		w.hold(10*time.Second, "nothing starts again", func() bool { return len(w.on("job-1/0")) == 0 })
+	})
+}
+
+func TestTwoOwnersAtOnceAreHarmlessAndALateTransactionIsVoid(t *testing.T) {
+	story(t, func(t *testing.T, w *world) {
+		a := w.start("a")
+		w.until(5*time.Second, "a owns the pool", func() bool { return a.pool.Book() != nil })
+		w.worker("m1", "north")
+		time.Sleep(8 * time.Second)
+		b := w.start("b")
+		time.Sleep(2 * time.Second)
+		// a's commits of places are held back; it is cut from the state service
+		// and from b, but not from the worker.
+		w.net.SetRule(func(from, to string, r *http.Request, body []byte) fake.Fate {
+			switch {
+			case from == "a" && to == "state:1" && r.URL.Path == "/commit" && strings.Contains(string(body), `"places"`):
+				return fake.Hold
+			case from == "a" && to == "state:1" && !strings.HasPrefix(r.URL.Path, "/kv"):
+				return fake.Swallow
+			case from == "a" && to == "b" || from == "b" && to == "a":
+				return fake.Swallow
+			}
+			return fake.Deliver
+		})
+		w.submit("b", spec("job-2", "array", 1))
+		w.until(15*time.Second, "b takes over", func() bool { return b.pool.Book() != nil })
+		w.until(60*time.Second, "the task runs under b", func() bool { return len(w.on("job-2/0")) == 1 })
+		if n := w.net.Release(); n > 0 {
+			t.Logf("%d late transactions delivered", n)
+		}
+		w.hold(20*time.Second, "the task goes on undisturbed", func() bool { return len(w.on("job-2/0")) == 1 })
+		w.net.SetRule(nil)
+		w.until(10*time.Second, "a steps down", func() bool { return a.pool.Book() == nil })
+		if n := w.worn("m1").Started("job-2/0"); n != 1 {
+			t.Fatalf("started %d times", n)
+		}
+	})
+}
+
+func TestAStartThatArrivesMinutesLateIsTurnedAway(t *testing.T) {
+	story(t, func(t *testing.T, w *world) {
+		w.start("a")
+		w.worker("m1", "north")
+		w.worker("m2", "south")
+		time.Sleep(10 * time.Second)
+		w.net.SetRule(func(from, to string, r *http.Request, body []byte) fake.Fate {
+			if r.URL.Path == "/commands" && strings.Contains(string(body), `"start"`) {
+				return fake.Hold
+			}
+			return fake.Deliver
+		})
+		w.submit("a", spec("job-3", "array", 1))
+		// The beats carry the same start, and it runs once.
+		w.until(6*time.Second, "it runs by way of a beat", func() bool { return len(w.on("job-3/0")) == 1 })
+		at := w.worn(w.on("job-3/0")[0])
+		at.End("job-3/0", "done")
+		w.until(4*time.Second, "done", func() bool { return w.status("a", "job-3") == "done" })
+		time.Sleep(2 * time.Minute)
+		if w.net.Release() == 0 {
+			t.Fatal("no start was held back")
+		}
+		w.hold(10*time.Second, "the late start begins nothing", func() bool { return len(w.on("job-3/0")) == 0 })
+		if n := at.Started("job-3/0"); n != 1 {
+			t.Fatalf("started %d times", n)
+		}
+	})
+}
+
+func TestAWorkerSilentDuringATakeoverIsGivenItsTime(t *testing.T) {
+	story(t, func(t *testing.T, w *world) {
+		a := w.start("a")
+		m1 := w.worker("m1", "north")
+		time.Sleep(8 * time.Second)
+		w.submit("a", spec("job-4", "array", 1))
+		w.until(3*time.Second, "it runs", func() bool { return len(w.on("job-4/0")) == 1 })
+		// m1 and a are cut off together: a goes on answering m1.
+		w.net.SetRule(func(from, to string, r *http.Request, body []byte) fake.Fate {
+			inside := func(h string) bool { return h == "a" || h == "a:8080" || strings.HasPrefix(h, "m1") }
+			if inside(from) != inside(to) {
+				return fake.Swallow
+			}
+			return fake.Deliver
+		})
+		b := w.start("b")
+		w.worker("m2", "south")
+		w.until(15*time.Second, "b owns the pool", func() bool { return b.pool.Book() != nil })
+		took := time.Now()
+		// While a still answers, the task is on m1 and must not start on m2.
+		w.until(3*time.Minute, "it runs on m2", func() bool { at := w.on("job-4/0"); return len(at) == 1 && at[0] == "m2" })
+		if d := time.Since(took); d < 40*time.Second {
+			t.Fatalf("started elsewhere after only %v", d)
+		}
+		if len(m1.Live()) != 0 {
+			t.Fatal("m1 still has it")
+		}
+		_ = a
+	})
+}
+
+func TestAConfirmedStopShortensTheWait(t *testing.T) {
+	story(t, func(t *testing.T, w *world) {
+		a := w.start("a")
+		w.worker("m1", "north")
+		time.Sleep(8 * time.Second)
+		w.submit("a", spec("job-5", "array", 1))
+		w.until(3*time.Second, "it runs", func() bool { return len(w.on("job-5/0")) == 1 })
+		w.worn("m1").SetSilent(true)
+		b := w.start("b")
+		a.kill()
+		w.until(10*time.Second, "b owns the pool", func() bool { return b.pool.Book() != nil })
+		took := time.Now()
+		w.start("a")
+		w.worker("m2", "south")
+		w.until(35*time.Second, "it runs on m2", func() bool { at := w.on("job-5/0"); return len(at) == 1 && at[0] == "m2" })
+		if d := time.Since(took); d > 30*time.Second {
+			t.Fatalf("took %v although the old owner's node confirmed", d)
+		}
+	})
+}
+
+func TestAnOutageLongerThanTheHoldWithAllControllersCrashedInIt(t *testing.T) {
+	story(t, func(t *testing.T, w *world) {
+		a, b := w.start("a"), w.start("b")
+		w.worker("m1", "north")
+		time.Sleep(10 * time.Second)
+		w.submit("a", spec("job-6", "standing", 1))
+		w.submit("a", spec("job-7", "array", 1))
+		w.until(3*time.Second, "both run", func() bool { return len(w.on("job-6/0")) == 1 && len(w.on("job-7/0")) == 1 })
+		w.store.SetDown(true)
+		time.Sleep(8 * time.Second)
+		a.kill()
+		b.kill()
+		time.Sleep(4 * time.Second)
+		w.start("a")
+		w.start("b")
+		if code, _ := w.call("a", "POST", "/v2/runs", spec("job-8", "array", 1)); code == 201 || code == 200 {
+			t.Fatalf("accepted (%d) what could not be stored", code)
+		}
+		w.worn("m1").End("job-7/0", "done")
+		time.Sleep(2 * time.Second)
+		w.store.SetDown(false)
+		w.until(12*time.Second, "the outcome is told", func() bool { return w.status("a", "job-7") == "done" })
+		w.hold(10*time.Second, "the replica went on", func() bool { return len(w.on("job-6/0")) == 1 })
+		if n := w.worn("m1").Started("job-6/0"); n != 1 {
+			t.Fatalf("the replica was started %d times", n)
+		}
+	})
+}
+
+func TestAGangThatLosesATaskWhileWaitingIsCompleted(t *testing.T) {
+	story(t, func(t *testing.T, w *world) {
+		w.start("a")
+		w.worker("m1", "north")
+		w.worker("m2", "south")
+		time.Sleep(10 * time.Second)
+		s := spec("job-9", "gang", 2)
+		s["cores"] = 3
+		w.submit("a", s)
+		w.until(3*time.Second, "both tasks are there", func() bool { return len(w.on("job-9/0")) == 1 && len(w.on("job-9/1")) == 1 })
+		w.worn("m1").SetStatus("job-9/0", "waiting")
+		w.worn("m1").SetStatus("job-9/1", "waiting")
+		w.worn("m2").SetStatus("job-9/0", "waiting")
+		w.worn("m2").SetStatus("job-9/1", "waiting")
+		time.Sleep(5 * time.Second)
+		gone := w.on("job-9/0")[0]
+		w.worn(gone).SetSilent(true)
+		w.worker("m3", "north")
+		w.until(40*time.Second, "the lost task is replaced", func() bool { at := w.on("job-9/0"); return len(at) == 1 && at[0] == "m3" })
+		if n := w.worn("m3").Starts[0]; n != "job-9/0#1" {
+			t.Fatalf("replaced as %s, not under the same attempt", n)
+		}
+	})
+}
+
+func TestAGangThatLosesATaskWhileRunningBeginsAgainAsAWhole(t *testing.T) {
+	for _, status := range []string{"running", "flushing"} {
+		story(t, func(t *testing.T, w *world) {
+			w.start("a")
+			w.worker("m1", "north")
+			w.worker("m2", "south")
+			time.Sleep(10 * time.Second)
+			s := spec("job-10", "gang", 2)
+			s["cores"] = 3
+			w.submit("a", s)
+			w.until(3*time.Second, "both tasks are there", func() bool { return len(w.on("job-10/0")) == 1 && len(w.on("job-10/1")) == 1 })
+			lost, other := w.worn(w.on("job-10/0")[0]), w.worn(w.on("job-10/1")[0])
+			other.SetStatus("job-10/1", status)
+			time.Sleep(5 * time.Second)
+			w.worker("m3", "north")
+			lost.End("job-10/0", "error")
+			// Until the old attempt's other task has ended, no new attempt begins.
+			w.hold(12*time.Second, "no second attempt beside the first", func() bool { return len(w.on("job-10/0")) == 0 })
+			other.End("job-10/1", "peers")
+			w.until(10*time.Second, "a new attempt of both", func() bool { return len(w.on("job-10/0")) == 1 && len(w.on("job-10/1")) == 1 })
+			for _, k := range w.workers {
+				for _, st := range k.Starts {
+					if !strings.HasSuffix(st, "#1") && !strings.HasSuffix(st, "#2") {
+						t.Fatalf("unexpected start %s", st)
+					}
+				}
+			}
+		})
+	}
+}
+
+func TestACancelRacingAStartLeavesNothingBehind(t *testing.T) {
+	story(t, func(t *testing.T, w *world) {
+		w.start("a")
+		w.start("b")
+		w.worker("m1", "north")
+		time.Sleep(10 * time.Second)
+		w.net.SetRule(func(from, to string, r *http.Request, body []byte) fake.Fate {
+			if r.URL.Path == "/commands" {
+				return fake.Hold
+			}
+			return fake.Deliver
+		})
+		w.submit("a", spec("job-11", "array", 1))
+		time.Sleep(300 * time.Millisecond) // the marker is stored, the start under way
+		if code, out := w.call("b", "POST", "/v2/runs/job-11/cancel", nil); code != 200 || out["status"] != "cancelled" {
+			t.Fatalf("cancel answered %d %v", code, out)
+		}
+		w.until(38*time.Second, "gone for good", func() bool { return w.store.Value("end/job-11") != nil })
+		w.net.Release()
+		w.hold(20*time.Second, "the late start is turned away", func() bool { return len(w.on("job-11/0")) == 0 })
+		if s := w.status("a", "job-11"); s != "cancelled" {
+			t.Fatalf("called %q", s)
+		}
+	})
+}
+
+func TestUncertainTasksCountAgainstTheLimit(t *testing.T) {
+	story(t, func(t *testing.T, w *world) {
+		w.start("a")
+		w.worker("m1", "north")
+		time.Sleep(10 * time.Second)
+		s := spec("job-12", "array", 2) // the team's limit is 8 cores
+		s["cores"] = 4
+		w.submit("a", s)
+		w.until(3*time.Second, "one runs", func() bool { return len(w.on("job-12/0")) == 1 })
+		w.worn("m1").SetSilent(true)
+		w.worker("m2", "south")
+		w.worker("m3", "south")
+		w.until(10*time.Second, "the other runs", func() bool { return len(w.on("job-12/1")) == 1 })
+		s = spec("job-13", "array", 1)
+		s["cores"] = 4
+		w.submit("a", s)
+		// m1 is silent: its task may be there until the lease has lapsed.
+		w.hold(10*time.Second, "no third task of four cores", func() bool { return len(w.on("job-13/0")) == 0 })
+		w.until(40*time.Second, "all is known again", func() bool { return len(w.on("job-12/0")) == 1 && len(w.on("job-12/1")) == 1 })
+	})
+}
+
+func TestALostAnswerToACommitIsReadBack(t *testing.T) {
+	story(t, func(t *testing.T, w *world) {
+		w.start("a")
+		w.worker("m1", "north")
+		time.Sleep(10 * time.Second)
+		lost := 0
+		w.net.SetRule(func(from, to string, r *http.Request, body []byte) fake.Fate {
+			if r.URL.Path == "/commit" && strings.Contains(string(body), `"places"`) && lost < 2 {
+				lost++
+				return fake.LoseAnswer
+			}
+			return fake.Deliver
+		})
+		w.submit("a", spec("job-14", "array", 1))
+		w.until(12*time.Second, "it runs all the same", func() bool { return len(w.on("job-14/0")) == 1 })
+		w.worn("m1").End("job-14/0", "done")
+		w.until(8*time.Second, "done", func() bool { return w.status("a", "job-14") == "done" })
+		if lost == 0 {
+			t.Fatal("no answer was lost")
+		}
+	})
+}
+
+func TestARestartedOwnerEndsItsDeadPredecessorsHold(t *testing.T) {
+	story(t, func(t *testing.T, w *world) {
+		a := w.start("a")
+		w.worker("m1", "north")
+		time.Sleep(10 * time.Second)
+		w.submit("a", spec("job-15", "standing", 1))
+		w.until(3*time.Second, "it runs", func() bool { return len(w.on("job-15/0")) == 1 })
+		a.kill()
+		time.Sleep(100 * time.Millisecond)
+		again := w.start("a")
+		w.until(time.Second, "it owns the pool at once", func() bool { return again.pool.Book() != nil })
+		w.hold(30*time.Second, "the replica goes on", func() bool { return len(w.on("job-15/0")) == 1 })
+		if n := w.worn("m1").Started("job-15/0"); n != 1 {
+			t.Fatalf("started %d times", n)
+		}
+	})
+}
+
+func TestSpreadIsKeptWithUncertainReplicas(t *testing.T) {
+	story(t, func(t *testing.T, w *world) {
+		w.start("a")
+		w.worker("m1", "north")
+		w.worker("m2", "north")
+		time.Sleep(10 * time.Second)
+		s := spec("job-16", "standing", 2)
+		s["spread"] = true
+		w.submit("a", s)
+		w.hold(10*time.Second, "only one replica in the one zone", func() bool { return len(w.on("job-16/0"))+len(w.on("job-16/1")) <= 1 })
+		w.worker("m3", "south")
+		w.until(10*time.Second, "the other follows", func() bool { return len(w.on("job-16/0")) == 1 && len(w.on("job-16/1")) == 1 })
+	})
+}
--- /dev/null
+++ b/internal/claim/world_test.go
@@ -0,0 +1,271 @@
+package claim_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/claim"
+	"github.com/pebbletrail/pebbletrail/internal/config"
+	"github.com/pebbletrail/pebbletrail/internal/fake"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/intake"
+	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/state"
+	"github.com/pebbletrail/pebbletrail/internal/worker"
+)
+
+const settings = `
+host_name = "NODE"
+area = "north"
+client_listen = "NODE:8080"
+cluster_listen = "NODE:8081"
+[[others]]
+host_name = "OTHER"
+area = "south"
+peer_addr = "OTHER:8081"
+[services]
+cloud = "cloud:1"
+state = "state:1"
+[params]
+initial_size = 2
+zones = ["north", "south"]
+clock_error_ms = 100.0
+[[params.teams]]
+name = "red"
+cpus = 2.0
+cpus_max = 8.0
+gpus = 0.0
+gpus_max = 0.0
+[params.workers]
+report_s = 2.0
+lease_s = 20.0
+gang_wait_s = 30.0
+gang_peer_s = 5.0
+cancel_s = 40.0
+[params.state]
+rps = 400.0
+write_rps = 200.0
+value_kb = 8.0
+txn_ops = 12
+[params.cloud]
+rps = 5.0
+list_lag_s = 5.0
+[params.machine_limits]
+cores = 1.0
+ram_mb = 256.0
+max_sockets = 400
+`
+
+// world is two controllers and what surrounds them, in memory.
+type world struct {
+	t       *testing.T
+	ctx     context.Context
+	net     *fake.Net
+	store   *fake.Store
+	mu      sync.Mutex
+	nodes   map[string]*node
+	workers []*fake.Worker
+	lives   int
+}
+
+type node struct {
+	w      *world
+	name   string
+	pool   *claim.Pool
+	desk   *intake.Desk
+	cancel context.CancelFunc
+}
+
+// story runs f in a world of its own, under a clock of its own.
+func story(t *testing.T, f func(t *testing.T, w *world)) {
+	slog.SetLogLoggerLevel(slog.LevelError)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		w := &world{t: t, ctx: ctx, net: fake.NewNet(), store: fake.NewStore(), nodes: map[string]*node{}}
+		w.net.Listen("state:1", w.store)
+		defer synctest.Wait()
+		defer cancel()
+		f(t, w)
+	})
+}
+
+func (w *world) start(name string) *node {
+	other := map[string]string{"a": "b", "b": "a"}[name]
+	set, err := config.Parse([]byte(strings.NewReplacer("NODE", name, "OTHER", other).Replace(settings)))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.lives++
+	writer := fmt.Sprintf("%s.%d", name, w.lives)
+	ctx, cancel := context.WithCancel(w.ctx)
+	st := state.NewClient("state:1", w.net.Client(name), state.NewBudget(400, 200, 2, 0.6))
+	n := &node{w: w, name: name, cancel: cancel}
+	n.pool = claim.NewPool(set, st, &worker.Commander{HTTP: w.net.Client(name), Timeout: 3 * time.Second}, writer)
+	n.pool.Peers = n
+	n.pool.OnTerm = func(ctx context.Context, t *claim.Term) {
+		t.Book.SetTypes(types())
+		<-ctx.Done()
+	}
+	n.desk = &intake.Desk{Set: set, State: st, Teller: n, Writer: writer, Types: types}
+	w.net.Listen(name+":8080", (&intake.Site{Desk: n.desk, Beats: n.pool, Ready: func() bool { return true },
+		Live:   func(context.Context, ids.Job) ([]string, ids.Node, error) { return nil, "", nil },
+		Status: func() any { return nil }}).Handler())
+	w.mu.Lock()
+	w.nodes[name] = n
+	w.mu.Unlock()
+	go n.pool.Run(ctx)
+	return n
+}
+
+func types() []placement.Type {
+	return []placement.Type{{Label: "small", Cores: 4, RAM: 16, CacheGB: 20, PullGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 30, Zones: []string{"north", "south"}}}
+}
+
+// AllStopped asks the other node, if it lives and the network lets it.
+func (n *node) AllStopped(_ context.Context, gen ids.Generation) bool {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	for name, o := range n.w.nodes {
+		if name != n.name && !n.w.cutOff(n.name, name) && o.pool.Superseded(gen) {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) cutOff(from, to string) bool {
+	if w.net.Rule == nil {
+		return false
+	}
+	r, _ := http.NewRequest("POST", "http://"+to+"/peer", nil)
+	return w.net.Rule(from, to, r, nil) != fake.Deliver
+}
+
+// Tell passes writes on at once.
+func (n *node) Tell(id ids.Job, stamp ids.Stamp, rec *claim.Record, raw json.RawMessage) {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	for name, o := range n.w.nodes {
+		if name == n.name || !n.w.cutOff(n.name, name) {
+			o.pool.Learn(id, stamp, rec)
+		}
+	}
+}
+
+// kill ends a node like a lost process.
+func (n *node) kill() {
+	n.cancel()
+	n.w.mu.Lock()
+	delete(n.w.nodes, n.name)
+	n.w.mu.Unlock()
+	n.w.net.Listen(n.name+":8080", nil)
+}
+
+func (w *world) worker(name, zone string) *fake.Worker {
+	k := &fake.Worker{Name: name, Addr: name + ":9000", Type: "small", Zone: zone, Net: w.net,
+		Nodes: []string{"a:8080", "b:8080"}, Names: []string{"a", "b"}, Report: 2 * time.Second, Lease: 20 * time.Second}
+	w.workers = append(w.workers, k)
+	go k.Run(w.ctx)
+	return k
+}
+
+// spec is a job of team red with tasks of one core.
+func spec(id, shape string, tasks int) map[string]any {
+	return map[string]any{"uid": id, "jobkind": "c", "owner": "red", "shape": shape, "urgency": "normal", "pieces": tasks,
+		"cores": 1, "accelerators": 0, "ramGb": 1, "bundle": "img", "pullGb": 1, "together": false, "spread": false,
+		"loaners": false, "guessS": 10, "bookmarkS": 0, "stashS": 0}
+}
+
+func (w *world) call(node, method, path string, body any) (int, map[string]any) {
+	raw, _ := json.Marshal(body)
+	ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, method, "http://"+node+":8080"+path, bytes.NewReader(raw))
+	res, err := w.net.Client("user").Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	out := map[string]any{}
+	json.NewDecoder(res.Body).Decode(&out)
+	return res.StatusCode, out
+}
+
+func (w *world) submit(node string, s map[string]any) {
+	w.t.Helper()
+	if code, out := w.call(node, "POST", "/v2/runs", s); code != 201 {
+		w.t.Fatalf("submission answered %d %v", code, out)
+	}
+}
+
+func (w *world) status(node, id string) string {
+	_, out := w.call(node, "GET", "/v2/runs/"+id, nil)
+	s, _ := out["status"].(string)
+	return s
+}
+
+// on lists where a task is, by worker name.
+func (w *world) on(task string) (at []string) {
+	for _, k := range w.workers {
+		for _, t := range k.Live() {
+			if t == task {
+				at = append(at, k.Name)
+			}
+		}
+	}
+	return at
+}
+
+// until waits for a condition, at most d.
+func (w *world) until(d time.Duration, what string, f func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(d); !f(); {
+		if time.Now().After(end) {
+			w.t.Fatalf("not within %v: %s; store: %s", d, what, w.store)
+		}
+		time.Sleep(100 * time.Millisecond)
+		w.never()
+	}
+}
+
+// hold watches that a condition stays true for d.
+func (w *world) hold(d time.Duration, what string, f func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if !f() {
+			w.t.Fatalf("no longer true: %s", what)
+		}
+		w.never()
+	}
+}
+
+// never checks the rule that holds in every story: no task on two machines.
+func (w *world) never() {
+	w.t.Helper()
+	seen := map[string]string{}
+	for _, k := range w.workers {
+		for _, t := range k.Live() {
+			if o := seen[t]; o != "" {
+				w.t.Fatalf("%s runs on %s and on %s", t, o, k.Name)
+			}
+			seen[t] = k.Name
+		}
+	}
+}
+
+func (w *world) worn(name string) *fake.Worker {
+	for _, k := range w.workers {
+		if k.Name == name {
+			return k
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,77 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+const fine = `
+host_name = "n0"
+area = "z"
+client_listen = "10.0.0.1:1"
+cluster_listen = "10.0.0.1:2"
+novelty = 7
+[services]
+cloud = "10.0.0.9:1"
+state = "10.0.0.9:2"
+[params]
+zones = ["z"]
+[[params.teams]]
+name = "t"
+cpus = 4.0
+cpus_max = 8.0
+[params.workers]
+report_s = 3.0
+lease_s = 26.0
+gang_wait_s = 35.0
+gang_peer_s = 5.0
+cancel_s = 46.0
+[params.state]
+rps = 250.0
+write_rps = 80.0
+value_kb = 32.0
+txn_ops = 48
+[params.cloud]
+rps = 6.0
+[params.machine_limits]
+cores = 0.3
+ram_mb = 300.0
+max_sockets = 100
+`
+
+func TestSettingsNameTheFieldThatIsWrong(t *testing.T) {
+	if _, err := Parse([]byte(fine)); err != nil {
+		t.Fatalf("good settings with an unknown field: %v", err)
+	}
+	for change, field := range map[string]string{
+		`host_name = "n0">`:                      "host_name",
+		`state = "10.0.0.9:2">state = "nowhere"`: "services.state",
+		`lease_s = 26.0>lease_s = 2.0`:           "lease_s",
+		`cpus = 4.0>cpus = 9.0`:                  "params.teams[0]",
+		`txn_ops = 48>txn_ops = 1`:               "txn_ops",
+		`rps = 6.0>rps = -6.0`:                   "params.cloud.rps",
+		`ram_mb = 300.0>`:                        "ram_mb",
+		`zones = ["z"]>`:                         "params.zones",
+		`10.0.0.1:2">10.0.0.1:1"`:                "cluster_listen",
+		`cpus_max = 8.0>cpus_max = "many"`:       "line",
+		`[services]>[[others]]` + "\n[services]": "others[0].host_name",
+	} {
+		from, to, _ := strings.Cut(change, ">")
+		_, err := Parse([]byte(strings.Replace(fine, from, to, 1)))
+		if err == nil || !strings.Contains(err.Error(), field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", change, err)
+		}
+	}
+}
+
+func TestOperatorsSettingsLieOverDefaults(t *testing.T) {
+	o, err := ParseOwn([]byte("beat_grace_s: 60\nsample_machines: 9 # more\n"))
+	if err != nil || o.BeatGraceS != 60 || o.SampleMachines != 9 || o.PoolHoldMs != Defaults().PoolHoldMs {
+		t.Fatalf("%v %v", o, err)
+	}
+	for _, bad := range []string{"beat_grace_s: 1", "nonsense: 1", "owner_share: 2", "pool_hold_ms: 5"} {
+		if _, err := ParseOwn([]byte(bad)); err == nil {
+			t.Errorf("taken: %s", bad)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fake/store.go
@@ -0,0 +1,292 @@
+package fake
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+type kv struct {
+	Key   string          `json:"key"`
+	Value json.RawMessage `json:"value"`
+	Stamp uint64          `json:"stamp"`
+	Hold  uint64          `json:"permit,omitempty"`
+}
+
+type change struct {
+	Put    string          `json:"put,omitempty"`
+	Value  json.RawMessage `json:"value,omitempty"`
+	Remove string          `json:"remove,omitempty"`
+	Stamp  uint64          `json:"stamp"`
+}
+
+type hold struct {
+	life time.Duration
+	ends time.Time
+}
+
+// Store is a stand-in of the state service.
+type Store struct {
+	mu    sync.Mutex
+	epoch uint64
+	keys  map[string]*kv
+	holds map[uint64]*hold
+	next  uint64
+	log   []change
+	down  bool
+	// Keep is how many changes it remembers.
+	Keep int
+}
+
+// NewStore makes an empty store.
+func NewStore() *Store {
+	return &Store{keys: map[string]*kv{}, holds: map[uint64]*hold{}, Keep: 10000}
+}
+
+// SetDown begins or ends an outage; at its end every hold has its full time.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.down {
+		s.expire()
+	}
+	if s.down && !down {
+		for _, h := range s.holds {
+			h.ends = time.Now().Add(h.life)
+		}
+	}
+	s.down = down
+}
+
+// Value reads a key past all faults; nil when absent.
+func (s *Store) Value(key string) json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if e := s.keys[key]; e != nil {
+		return e.Value
+	}
+	return nil
+}
+
+// Count counts the keys below a prefix.
+func (s *Store) Count(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for k := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Store) expire() {
+	if s.down {
+		return
+	}
+	for id, h := range s.holds {
+		if time.Now().After(h.ends) {
+			s.endHold(id)
+		}
+	}
+}
+
+func (s *Store) endHold(id uint64) {
+	delete(s.holds, id)
+	for k, e := range s.keys {
+		if e.Hold == id {
+			s.epoch++
+			delete(s.keys, k)
+			s.log = append(s.log, change{Remove: k, Stamp: s.epoch})
+		}
+	}
+}
+
+func reply(w http.ResponseWriter, code int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	json.NewEncoder(w).Encode(v)
+}
+
+// ServeHTTP answers like the state service.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	if s.down {
+		follow := r.URL.Path == "/follow"
+		s.mu.Unlock()
+		if follow {
+			s.follow(w, r)
+			return
+		}
+		reply(w, 503, map[string]string{"error": "trouble"})
+		return
+	}
+	s.expire()
+	if r.URL.Path == "/follow" {
+		s.mu.Unlock()
+		s.follow(w, r)
+		return
+	}
+	defer s.mu.Unlock()
+	path := r.URL.Path
+	switch {
+	case path == "/kv":
+		s.list(w, r)
+	case strings.HasPrefix(path, "/kv/"):
+		if e := s.keys[strings.TrimPrefix(path, "/kv/")]; e != nil {
+			reply(w, 200, e)
+		} else {
+			reply(w, 404, map[string]uint64{"epoch": s.epoch})
+		}
+	case path == "/commit":
+		s.commit(w, r)
+	case path == "/holds":
+		var in struct {
+			LifeMs int64 `json:"lifeMs"`
+		}
+		json.NewDecoder(r.Body).Decode(&in)
+		s.next++
+		life := time.Duration(in.LifeMs) * time.Millisecond
+		s.holds[s.next] = &hold{life, time.Now().Add(life)}
+		reply(w, 200, map[string]uint64{"permit": s.next})
+	case strings.HasPrefix(path, "/holds/"):
+		id, _ := strconv.ParseUint(strings.TrimSuffix(strings.TrimPrefix(path, "/holds/"), "/renew"), 10, 64)
+		h := s.holds[id]
+		switch {
+		case h == nil:
+			reply(w, 404, map[string]uint64{"epoch": s.epoch})
+			return
+		case r.Method == "DELETE":
+			s.endHold(id)
+		default:
+			h.ends = time.Now().Add(h.life)
+		}
+		reply(w, 200, map[string]uint64{"permit": id})
+	default:
+		reply(w, 404, map[string]string{"error": "no such path"})
+	}
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	most, _ := strconv.Atoi(q.Get("most"))
+	var all []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, q.Get("under")) && k > q.Get("after") {
+			all = append(all, k)
+		}
+	}
+	sort.Strings(all)
+	more := len(all) > most
+	if more {
+		all = all[:most]
+	}
+	es := []*kv{}
+	for _, k := range all {
+		es = append(es, s.keys[k])
+	}
+	reply(w, 200, map[string]any{"entries": es, "more": more, "epoch": s.epoch})
+}
+
+func (s *Store) commit(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		When []struct {
+			Key   string `json:"key"`
+			Stamp uint64 `json:"stamp"`
+		} `json:"when"`
+		Then []struct {
+			Put    string          `json:"put"`
+			Value  json.RawMessage `json:"value"`
+			Permit uint64          `json:"permit"`
+			Remove string          `json:"remove"`
+		} `json:"then"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		reply(w, 400, map[string]string{"error": err.Error()})
+		return
+	}
+	failed := []string{}
+	for _, c := range in.When {
+		var have uint64
+		if e := s.keys[c.Key]; e != nil {
+			have = e.Stamp
+		}
+		if have != c.Stamp {
+			failed = append(failed, c.Key)
+		}
+	}
+	if len(failed) > 0 {
+		reply(w, 409, map[string]any{"failed": failed, "epoch": s.epoch})
+		return
+	}
+	for _, op := range in.Then {
+		if op.Permit != 0 && s.holds[op.Permit] == nil {
+			reply(w, 400, map[string]string{"error": "no such lease"})
+			return
+		}
+	}
+	s.epoch++
+	for _, op := range in.Then {
+		if op.Put != "" {
+			s.keys[op.Put] = &kv{op.Put, op.Value, s.epoch, op.Permit}
+			s.log = append(s.log, change{Put: op.Put, Value: op.Value, Stamp: s.epoch})
+		} else if s.keys[op.Remove] != nil {
+			delete(s.keys, op.Remove)
+			s.log = append(s.log, change{Remove: op.Remove, Stamp: s.epoch})
+		}
+	}
+	reply(w, 200, map[string]uint64{"epoch": s.epoch})
+}
+
+func (s *Store) follow(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	ms, _ := strconv.Atoi(q.Get("holdMs"))
+	until := time.Now().Add(time.Duration(ms) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		s.expire()
+		if n := len(s.log); n > s.Keep && after < s.log[n-s.Keep].Stamp-1 {
+			s.mu.Unlock()
+			reply(w, 410, map[string]string{"error": "too old"})
+			return
+		}
+		var news []change
+		if !s.down {
+			for _, c := range s.log {
+				if c.Stamp > after && strings.HasPrefix(c.Put+c.Remove, q.Get("under")) {
+					news = append(news, c)
+				}
+			}
+		}
+		epoch := s.epoch
+		s.mu.Unlock()
+		if len(news) > 0 || !time.Now().Before(until) {
+			reply(w, 200, map[string]any{"epoch": epoch, "news": news})
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// String lists the keys, for failing tests.
+func (s *Store) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var b strings.Builder
+	for k, e := range s.keys {
+		fmt.Fprintf(&b, "%s@%d ", k, e.Stamp)
+	}
+	return b.String()
+}
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -83,11 +83,6 @@
 			return
 		}
 	}
-	ds, ups, types := k.Book.Needs(time.Now())
-	hires, needed := placement.Rent(ds, ups, types, func(label, zone string, spot bool) bool {
-		return !k.refused[offer{label, zone, spot}].After(now)
-	})
-	k.returns(ctx, needed)
 	if k.listed.IsZero() || now.Sub(k.listed) > k.ListEvery {
 		if ls, err := k.Cloud.List(ctx); err == nil {
 			k.Book.List(ls, time.Now())
@@ -97,6 +92,13 @@
 	for _, in := range append([]Intent(nil), k.open...) {
 		k.send(ctx, in)
 	}
+	// Decided only now: what an open hire has rented must count, or a lost
+	// answer would rent everything twice.
+	ds, ups, types := k.Book.Needs(time.Now())
+	hires, needed := placement.Rent(ds, ups, types, func(label, zone string, spot bool) bool {
+		return !k.refused[offer{label, zone, spot}].After(now)
+	})
+	k.returns(ctx, needed)
 	if len(k.open) > 0 || k.listed.IsZero() {
 		return // what they rent is not known yet
 	}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,80 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+var small = &Type{Label: "small", Cores: 4, RAM: 16, PullGBPerS: 0.25, Price: 1, SpotPrice: 0.4, Zones: []string{"n", "s"}, BootS: 30}
+var big = &Type{Label: "big", Cores: 64, Accels: 8, RAM: 256, PullGBPerS: 0.25, Price: 24, SpotPrice: 10, Zones: []string{"n"}, BootS: 30}
+
+func rng() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+
+func TestAMissWidensTheSampleToAll(t *testing.T) {
+	ms := make([]Machine, 60)
+	for i := range ms {
+		ms[i] = Machine{Name: "full", Type: small, Zone: "n"}
+	}
+	ms[41].Free = small.Room()
+	a := &Ask{Need: Room{Cores: 1, RAM: 1}, Image: "i", ImageGB: 1}
+	for range 20 {
+		if at := Pick(rng(), ms, a, nil, 2); at != 41 {
+			t.Fatalf("picked %d, not the only one with room", at)
+		}
+	}
+	ms[7].Free, ms[7].Warm = small.Room(), true
+	if at := Pick(rng(), ms, a, nil, 2); at != 7 {
+		t.Fatalf("picked %d, not the one that holds the image", at)
+	}
+	ms[7].Held = true
+	if at := Pick(rng(), ms, a, nil, 2); at != 41 {
+		t.Fatalf("picked %d although its room is held for another", at)
+	}
+	a.Zone = "s"
+	if at := Pick(rng(), ms, a, nil, 2); at != -1 {
+		t.Fatalf("picked %d in a zone not allowed", at)
+	}
+}
+
+func TestBestFitKeepsAcceleratorsAndOrdinaryMachinesFree(t *testing.T) {
+	ms := []Machine{{Name: "g", Type: big, Zone: "n", Free: big.Room()}, {Name: "o", Type: small, Zone: "n", Free: small.Room()},
+		{Name: "s", Type: small, Zone: "n", Spot: true, Free: small.Room()}}
+	if at := Pick(rng(), ms, &Ask{Need: Room{Cores: 4, RAM: 4}, Spot: true}, nil, 5); ms[at].Name != "s" {
+		t.Errorf("spot work went to %s", ms[at].Name)
+	}
+	if at := Pick(rng(), ms, &Ask{Need: Room{Cores: 4, RAM: 4}}, nil, 5); ms[at].Name != "o" {
+		t.Errorf("ordinary work went to %s", ms[at].Name)
+	}
+	if at := Pick(rng(), ms, &Ask{Need: Room{Cores: 4, Accels: 1, RAM: 4}, Spot: true}, nil, 5); ms[at].Name != "g" {
+		t.Errorf("accelerated work went to %s", ms[at].Name)
+	}
+}
+
+func TestRentingCoversWhatIsMissingAtTheLowestPrice(t *testing.T) {
+	any := func(string, string, bool) bool { return true }
+	need := Ask{Need: Room{Cores: 2, RAM: 4}, Spot: true}
+	ups := []Up{{Name: "m", Type: small, Zone: "n", Free: Room{Cores: 2, RAM: 8}}}
+	hs, needed := Rent([]Demand{{Ask: need, Count: 5}}, ups, []*Type{small, big}, any)
+	n := 0
+	for _, h := range hs {
+		if h.Type != "small" || !h.Spot {
+			t.Fatalf("rents %+v", h)
+		}
+		n += h.Count
+	}
+	if n != 2 || !needed["m"] {
+		t.Fatalf("rents %d, needed %v", n, needed)
+	}
+	// Refused spot falls back to ordinary; a machine on its way counts.
+	hs, _ = Rent([]Demand{{Ask: need, Count: 4}}, []Up{{Name: "c", Type: small, Zone: "s", Coming: true, Free: small.Room()}},
+		[]*Type{small}, func(_, _ string, spot bool) bool { return !spot })
+	if len(hs) != 1 || hs[0].Spot || hs[0].Count != 1 {
+		t.Fatalf("rents %+v", hs)
+	}
+	// Room kept for later holds an idle machine, and no second one.
+	idle := []Up{{Name: "x", Type: small, Zone: "n", Free: small.Room(), Idle: true}, {Name: "y", Type: small, Zone: "n", Free: small.Room(), Idle: true}}
+	hs, needed = Rent([]Demand{{Ask: Ask{Need: Room{Cores: 1, RAM: 1}}, Count: 1, Keep: true}}, idle, []*Type{small}, any)
+	if len(hs) != 0 || len(needed) != 1 {
+		t.Fatalf("rents %+v, needed %v", hs, needed)
+	}
+}
