--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -104,6 +104,7 @@
 	warm         map[string]*warmth
 	lost         bool
 	sampled      time.Time
+	moved        time.Time
 	returned     map[ids.Machine]bool // deletions the cloud confirmed
 
 	wakeCommit, wakePlan chan struct{}
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -24,7 +24,7 @@
 	busy     int
 }
 
-const warmWindow = 120
+const warmWindow = 180
 
 // sample notes once a second how much each class wants.
 func (b *Book) sample(now time.Time) {
@@ -92,7 +92,7 @@
 		u := placement.Up{Name: m.Name, Type: t, Zone: m.Zone, Spot: m.Spot, Coming: !m.Heard,
 			Free: t.Room().Minus(b.usedOn(m.Name)), Idle: len(b.on[m.Name]) == 0 && m.Heard}
 		for p := range b.on[m.Name] {
-			if p.Job.Rec.Spec.Shape == Array {
+			if p.Job.Rec.Spec.Shape != Service {
 				u.Turn = u.Turn.Plus(p.Job.Rec.Spec.Need)
 			}
 		}
@@ -103,11 +103,38 @@
 
 // horizon is the time within which queued work should get its turn; a queue
 // that the machines at hand work off sooner needs no new ones.
-func horizon(j *Job) float64 {
+func (b *Book) horizon(j *Job) float64 {
+	if j.Rec.Spec.Shape == Gang {
+		// A queued gang gains from a new machine only if the wait for a
+		// running one to end is longer than a boot and a fetch.
+		return b.fresh(&j.Rec.Spec)
+	}
 	if j.guaranteed || j.Rec.Spec.Priority >= High {
 		return 10
 	}
-	return 40
+	s := &j.Rec.Spec
+	due := math.Inf(1)
+	if s.Due > 0 {
+		due = float64(s.Due)
+	}
+	for _, o := range b.set.Params.Objectives {
+		if o.Class == s.Class && o.Kind == "finished" {
+			due = min(due, float64(o.WithinS))
+		}
+	}
+	// A third of the slack: the rest is for arrivals in bunches and bad luck.
+	return max(10, min(60, (due-float64(s.Estimate))/3))
+}
+
+// fresh is how long a new machine for such tasks takes to be up with the image.
+func (b *Book) fresh(s *Spec) float64 {
+	best := math.Inf(1)
+	for _, t := range b.types {
+		if t.Room().Holds(s.Need) {
+			best = min(best, float64(t.BootS)+s.ImageGB/max(t.PullGBPerS, 0.01))
+		}
+	}
+	return best
 }
 
 func (b *Book) demandOf(j *Job, now time.Time) (placement.Demand, bool) {
@@ -117,8 +144,8 @@
 	if n <= 0 {
 		return placement.Demand{}, false
 	}
-	if s.Shape == Array && s.Estimate > 0 {
-		n = int(math.Ceil(float64(n) * min(1, float64(s.Estimate)/horizon(j))))
+	if s.Estimate > 0 && (s.Shape == Array || s.Shape == Gang && s.Tasks == 1) {
+		n = int(math.Ceil(float64(n) * min(1, float64(s.Estimate)/b.horizon(j))))
 	}
 	return placement.Demand{Ask: s.Ask(), Count: n, Spread: s.Spread, Preempt: s.Priority >= High}, true
 }
@@ -139,20 +166,80 @@
 			ds = append(ds, placement.Demand{Ask: w.ask, Count: n, Spread: true, Keep: true, Preempt: true})
 			continue
 		}
+		if w.shape == Array && b.aimed(c) {
+			if n := min(w.high()-max(w.busy, w.now), b.affordable(w)); n > 0 {
+				ds = append(ds, placement.Demand{Ask: w.ask, Count: n, Keep: true})
+			}
+			continue
+		}
 		if !b.startsSoon(c, w) {
 			continue
 		}
-		peak := 0
-		for _, n := range w.want {
-			peak = max(peak, n)
+		// Too little is known right after a takeover to hire by it.
+		young := len(w.want) < 60
+		n := w.staff() - max(w.busy, w.now)
+		if young {
+			n = 2 * (w.now + 1)
 		}
-		if n := peak - max(w.busy, w.now); n > 0 {
-			ds = append(ds, placement.Demand{Ask: w.ask, Count: n, Keep: true, Preempt: w.shape == Gang})
+		if n > 0 {
+			ds = append(ds, placement.Demand{Ask: w.ask, Count: n, Keep: true, Hold: young, Preempt: w.shape == Gang})
 		}
 	}
 	return ds
 }
 
+// high is what the class rarely wants more of.
+func (w *warmth) high() int {
+	if len(w.want) == 0 {
+		return 0
+	}
+	v := append([]int(nil), w.want...)
+	sort.Ints(v)
+	return v[len(v)*9/10]
+}
+
+// aimed tells whether the settings expect anything of the class.
+func (b *Book) aimed(class string) bool {
+	for _, o := range b.set.Params.Objectives {
+		if o.Class == class || o.Kind == "guarantee" {
+			return true
+		}
+	}
+	return false
+}
+
+// affordable is how many tasks of a class room may be kept for, at a small
+// share of what the fleet costs.
+func (b *Book) affordable(w *warmth) int {
+	fleet := 0.0
+	for _, m := range b.roster.Machines {
+		if t := b.types[m.Type]; t != nil {
+			fleet += t.PriceOf(m.Spot)
+		}
+	}
+	each := math.Inf(1)
+	for _, t := range b.types {
+		if n := t.Room().Count(w.ask.Need, 1000); n > 0 && (w.ask.Types == nil || w.ask.Allows(t.Label, w.ask.Zone, false)) {
+			each = min(each, t.Price/float64(n))
+		}
+	}
+	return int(b.set.Own.BurstCostShare * fleet / each)
+}
+
+// staff is how many tasks of the class to have room for: the mean wanted and
+// its square root, the usual margin for work that comes at random.
+func (w *warmth) staff() int {
+	if len(w.want) == 0 {
+		return 0
+	}
+	sum := 0
+	for _, n := range w.want {
+		sum += n
+	}
+	a := float64(sum) / float64(len(w.want))
+	return int(math.Ceil(a + math.Sqrt(a) - 0.05))
+}
+
 // startsSoon tells whether a class is to start before a hired machine could be
 // up with its image.
 func (b *Book) startsSoon(class string, w *warmth) bool {
@@ -232,6 +319,12 @@
 	fewSilent := silent <= max(1, heard/3)
 	var out []ids.Machine
 	for _, m := range b.roster.Machines {
+		if needed[m.Name] || !m.Heard {
+			m.NeededAt = now
+		}
+		// Dear machines are not kept by cheap work that could run elsewhere.
+		t := b.types[m.Type]
+		m.Going = t != nil && t.Accels > 0 && now.Sub(m.NeededAt).Seconds() > b.set.Own.IdleReturnS
 		if why := b.whyReturn(m, now, silentAfter, fewSilent, needed); why != "" || m.Deleting {
 			if !m.Deleting {
 				slog.Info("machine returned", "machine", m.Name, "type", m.Type, "spot", m.Spot, "why", why)
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -77,7 +77,7 @@
 
 // Ask is what placement needs to know of one of its tasks.
 func (s *Spec) Ask() placement.Ask {
-	return placement.Ask{Need: s.Need, Types: s.Types, Zone: s.Zone, Spot: s.Spot, Image: s.Image, ImageGB: s.ImageGB}
+	return placement.Ask{Need: s.Need, Types: s.Types, Zone: s.Zone, Spot: s.Spot, Image: s.Image, ImageGB: s.ImageGB, Long: s.Shape == Service}
 }
 
 // Status is where a job stands.
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		bd.by[m.Name] = len(bd.ms)
-		bd.ms = append(bd.ms, placement.Machine{Name: m.Name, Type: t, Zone: m.Zone, Spot: m.Spot, Free: t.Room().Minus(b.usedOn(m.Name))})
+		bd.ms = append(bd.ms, placement.Machine{Name: m.Name, Type: t, Zone: m.Zone, Spot: m.Spot, Going: m.Going, Free: t.Room().Minus(b.usedOn(m.Name))})
 		bd.mach = append(bd.mach, m)
 	}
 	return bd
@@ -260,9 +260,40 @@
 		res, ok := b.reserved[bd.ms[k].Name]
 		bd.ms[k].Held = ok && res.job != j.Rec.Spec.ID && res.until.After(now) && b.outranks(res.job, j)
 	}
+	if ask.Long && ask.Need.Accels == 0 {
+		// A service would hold a machine with accelerators for good: it goes
+		// there only if stopping others makes no room elsewhere either.
+		plain := *bd
+		plain.ms = append([]placement.Machine(nil), bd.ms...)
+		for k := range plain.ms {
+			plain.ms[k].Held = plain.ms[k].Held || plain.ms[k].Type.Accels > 0
+		}
+		if at := placement.Pick(b.rng, plain.ms, ask, b.zoneRule(j), int(b.set.Own.SampleMachines)); at >= 0 {
+			return at
+		}
+		if b.displaceable(j, ask, &plain, now) {
+			return -1
+		}
+	}
 	return placement.Pick(b.rng, bd.ms, ask, b.zoneRule(j), int(b.set.Own.SampleMachines))
 }
 
+// displaceable tells whether stopping others would make room on machines
+// without accelerators.
+func (b *Book) displaceable(j *Job, ask *placement.Ask, bd *board, now time.Time) bool {
+	zone := b.zoneRule(j)
+	for k := range bd.ms {
+		m := &bd.ms[k]
+		if m.Type.Accels > 0 || !ask.Allows(m.Type.Label, m.Zone, m.Spot) || zone != nil && !zone(m.Zone) {
+			continue
+		}
+		if _, _, ok := b.victims(j, m, ask, now); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // outranks tells whether a reservation's job still goes before j.
 func (b *Book) outranks(id ids.Job, j *Job) bool {
 	h := b.jobs[id]
@@ -426,6 +457,9 @@
 			continue
 		}
 		victims, loss, ok := b.victims(j, m, ask, now)
+		if ok && ask.Long && m.Type.Accels > ask.Need.Accels {
+			loss += 1e6 // see pick
+		}
 		if ok && !m.Warm {
 			loss += ask.ImageGB / max(m.Type.PullGBPerS, 0.01)
 		}
@@ -540,6 +574,10 @@
 			continue
 		}
 		taken := !m.TakenAt.IsZero()
+		if m.Going && !taken && m.Draining == "" {
+			b.moveReplica(m, now)
+			continue
+		}
 		if m.Draining == "" && !taken {
 			continue
 		}
@@ -563,6 +601,31 @@
 	}
 }
 
+// moveReplica takes one replica at a time off a machine that is only kept by
+// it, when another machine has room and the image.
+func (b *Book) moveReplica(m *worker.Machine, now time.Time) {
+	if now.Sub(b.moved) < 3*time.Second {
+		return
+	}
+	for p := range b.on[m.Name] {
+		if p.Job.Rec.Spec.Shape != Service || p.stopping || p.status != worker.Running {
+			continue
+		}
+		bd := b.lookAround(now)
+		b.warmFor(p.Job, bd)
+		ask := p.Job.Rec.Spec.Ask()
+		for k := range bd.ms {
+			t := &bd.ms[k]
+			if t.Name != m.Name && t.Zone == m.Zone && t.Warm && !t.Going && t.Type.Accels == 0 && t.Free.Holds(ask.Need) && ask.Allows(t.Type.Label, t.Zone, t.Spot) {
+				b.moved = now
+				b.reserved[t.Name] = reservation{p.Job.Rec.Spec.ID, now.Add(5 * time.Second)}
+				b.stop(p, p.leewayWanted(), "moved off "+string(m.Name)+", which is to be returned")
+				return
+			}
+		}
+	}
+}
+
 // finishes guesses whether a task completes within d.
 func (p *Place) finishes(d time.Duration, now time.Time) bool {
 	s := &p.Job.Rec.Spec
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -223,7 +223,7 @@
 	return &Operator{
 		PoolHoldMs: 3000, BeatGraceS: 40, SampleMachines: 5, BackoffS: 5, BackoffMaxS: 60,
 		TrailEvents: 12, IdleReturnS: 25, StuckBootFactor: 3, OwnerShare: 0.6, FaultyAfter: 2,
-		SpareShare: 0.15,
+		SpareShare: 0.15, BurstCostShare: 0.05,
 	}
 }
 
@@ -255,6 +255,7 @@
 	set(&o.StuckBootFactor, in.StuckBootFactor)
 	set(&o.OwnerShare, in.OwnerShare)
 	set(&o.SpareShare, in.SpareShare)
+	set(&o.BurstCostShare, in.BurstCostShare)
 	switch {
 	case o.PoolHoldMs < 500 || o.PoolHoldMs > 600000:
 		return nil, fmt.Errorf("pool_hold_ms: must be 500 to 600000: %d", o.PoolHoldMs)
@@ -270,6 +271,8 @@
 		return nil, fmt.Errorf("stuck_boot_factor: must be at least 1: %v", o.StuckBootFactor)
 	case !(o.SpareShare > 0 && o.SpareShare <= 1):
 		return nil, fmt.Errorf("spare_share: must lie between 0 and 1: %v", o.SpareShare)
+	case !(o.BurstCostShare > 0 && o.BurstCostShare <= 1):
+		return nil, fmt.Errorf("burst_cost_share: must lie between 0 and 1: %v", o.BurstCostShare)
 	case o.TrailEvents > 64:
 		return nil, fmt.Errorf("trail_events: at most 64: %d", o.TrailEvents)
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -76,6 +76,7 @@
 	Spot    bool     // spot machines allowed
 	Image   string
 	ImageGB float64
+	Long    bool // stays until it is cancelled
 }
 
 // Allows tells whether the ask may run on such a machine at all.
@@ -96,6 +97,7 @@
 	Warm  bool // holds the image asked for
 	Avoid bool // failed this very task before
 	Held  bool // its room was freed for somebody else
+	Going bool // to be returned once empty: only work with accelerators
 }
 
 // Zoner tells whether one more task of the job may go to a zone.
@@ -111,7 +113,7 @@
 	best, bestScore := -1, 0.0
 	look := func(i int) {
 		m := &ms[i]
-		if m.Held || !a.Allows(m.Type.Label, m.Zone, m.Spot) || !m.Free.Holds(a.Need) || zone != nil && !zone(m.Zone) {
+		if m.Held || m.Going && a.Need.Accels == 0 || !a.Allows(m.Type.Label, m.Zone, m.Spot) || !m.Free.Holds(a.Need) || zone != nil && !zone(m.Zone) {
 			return
 		}
 		if s := Score(m, a); best < 0 || s < bestScore {
@@ -144,6 +146,9 @@
 	s += 2 * (left.Cores/max(m.Type.Cores, 1) + left.RAM/max(m.Type.RAM, 1))
 	if a.Need.Accels == 0 && m.Type.Accels > 0 {
 		s += 3
+		if a.Long {
+			s += 60 // it would keep the dear machine from being returned
+		}
 	}
 	if a.Spot && !m.Spot {
 		s += 2
--- a/internal/placement/rent.go
+++ b/internal/placement/rent.go
@@ -10,6 +10,7 @@
 	Spread  bool // prefer the zone with the least so far
 	Preempt bool // may displace what runs on an array's room
 	Keep    bool // not waiting yet: only holds room free
+	Hold    bool // keeps what there is, but is no reason to hire
 }
 
 // Up is a machine that is there or on its way.
@@ -67,7 +68,10 @@
 				break
 			}
 			u := &ups[i]
-			if !d.Ask.Allows(u.Type.Label, u.Zone, u.Spot) {
+			// Accelerators cost so much more than cores that work without
+			// them may use their machines while those are there anyhow, but
+			// is no reason to have them, nor to be counted on to find room.
+			if !d.Ask.Allows(u.Type.Label, u.Zone, u.Spot) || d.Ask.Need.Accels == 0 && u.Type.Accels > 0 {
 				continue
 			}
 			room := u.Free
@@ -86,7 +90,7 @@
 				u.Free, u.Turn = u.Free.Plus(short), u.Turn.Minus(short)
 			}
 		}
-		for left > 0 {
+		for left > 0 && !d.Hold {
 			h, t, n := cheapest(&d, left, types, perZone, ok)
 			if n == 0 {
 				break
@@ -116,7 +120,14 @@
 	var best Hire
 	var bestType *Type
 	bestN, bestCost := 0, 0.0
+	plain := false // some machine without accelerators would do
 	for _, t := range types {
+		plain = plain || t.Accels == 0 && t.Room().Holds(d.Ask.Need) && (d.Ask.Types == nil || d.Ask.Allows(t.Label, d.Ask.Zone, false))
+	}
+	for _, t := range types {
+		if plain && t.Accels > 0 && d.Ask.Need.Accels == 0 {
+			continue
+		}
 		for _, spot := range []bool{true, false} {
 			for _, z := range t.Zones {
 				if !d.Ask.Allows(t.Label, z, spot) || !ok(t.Label, z, spot) {
@@ -127,9 +138,6 @@
 					continue
 				}
 				cost := t.PriceOf(spot) / float64(n)
-				if d.Ask.Need.Accels == 0 && t.Accels > 0 {
-					cost *= 4
-				}
 				cost *= 1 + 0.01*float64(perZone[z])
 				if bestN == 0 || cost < bestCost {
 					best, bestType, bestN, bestCost = Hire{t.Label, z, spot, 1}, t, n, cost
--- a/internal/worker/roster.go
+++ b/internal/worker/roster.go
@@ -40,6 +40,8 @@
 	Failed    bool      // the cloud says it stopped by itself
 	Deleting  bool
 	IdleSince time.Time
+	NeededAt  time.Time // when it was last needed, or came
+	Going     bool      // to be returned once empty
 	Faults    int
 	Lates     []Late
 	Images    Images
@@ -62,7 +64,7 @@
 func (r *Roster) Ensure(name ids.Machine, now, notBefore time.Time) *Machine {
 	m := r.Machines[name]
 	if m == nil {
-		m = &Machine{Name: name, Born: now, IdleSince: now, LapseAt: notBefore, HeldSince: now, Seen: now}
+		m = &Machine{Name: name, Born: now, IdleSince: now, NeededAt: now, LapseAt: notBefore, HeldSince: now, Seen: now}
 		r.Machines[name] = m
 	}
 	return m
