--- a/cmd/pebbletrail/serve.go
+++ b/cmd/pebbletrail/serve.go
@@ -11,6 +11,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,7 +27,7 @@
 
 func logTo(level string) {
 	l := slog.LevelInfo
-	switch level {
+	switch strings.ToLower(level) {
 	case "error":
 		l = slog.LevelError
 	case "debug":
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"sort"
 	"time"
 
@@ -307,6 +308,8 @@
 		delete(b.reserved, m.Name)
 	}
 	b.putPlace(&Place{Job: j, Index: i, Machine: m.Name, Session: m.Session, Attempt: a, Token: b.gen, since: now})
+	slog.Debug("placed", "class", j.Rec.Spec.Class, "job", j.Rec.Spec.ID, "task", i, "attempt", a, "machine", m.Name, "type", m.Type,
+		"warm", bd.ms[at].Warm, "sinceSubmit", now.Sub(j.Rec.Submitted.Time()).Round(time.Millisecond))
 }
 
 // claimGang places all tasks of a new attempt or none; a task lost while the
