--- a/internal/claim/pool.go
+++ b/internal/claim/pool.go
@@ -95,8 +95,9 @@
 	life := time.Duration(p.Set.Own.PoolHoldMs) * time.Millisecond
 	for ctx.Err() == nil {
 		if t := p.current(); t != nil {
-			p.keep(ctx, t)
-			wait(ctx, life/4)
+			// A renewal that hangs must not delay the next.
+			go p.keep(ctx, t)
+			wait(ctx, life/5)
 			continue
 		}
 		if p.vacant() {
@@ -319,11 +320,15 @@
 // keep renews the hold and ends the term when it is surely lost.
 func (p *Pool) keep(ctx context.Context, t *Term) {
 	sent := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(p.Set.Own.PoolHoldMs)*time.Millisecond/2)
+	defer cancel()
 	err := p.State.Renew(ctx, t.hold)
 	switch {
 	case err == nil:
 		p.mu.Lock()
-		t.renewed = sent
+		if sent.After(t.renewed) {
+			t.renewed = sent
+		}
 		p.mu.Unlock()
 	case errors.Is(err, state.ErrNoHold):
 		p.stepDown(t, "its hold ended")
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"sort"
 	"time"
 
@@ -244,10 +245,15 @@
 func (b *Book) warmFor(j *Job, bd *board) {
 	for k, m := range bd.mach {
 		warm := m.Images.Has(j.Rec.Spec.Image)
+		var pulling []string
 		for p := range b.on[m.Name] {
-			warm = warm || p.Job.Rec.Spec.Image == j.Rec.Spec.Image
+			img := p.Job.Rec.Spec.Image
+			warm = warm || img == j.Rec.Spec.Image
+			if (!p.seen || p.status == worker.Pulling) && !m.Images.Has(img) && !slices.Contains(pulling, img) {
+				pulling = append(pulling, img)
+			}
 		}
-		bd.ms[k].Warm, bd.ms[k].Avoid = warm, false
+		bd.ms[k].Warm, bd.ms[k].Avoid, bd.ms[k].Pulls = warm, false, len(pulling)
 	}
 }
 
@@ -512,8 +518,13 @@
 			cs = append(cs, cand{p, p.lossIfStopped(now)})
 		}
 	}
+	hurry := j.Rec.Spec.Priority == Critical
 	sort.Slice(cs, func(x, y int) bool {
 		a, z := cs[x].p.Job.Rec.Spec.Priority, cs[y].p.Job.Rec.Spec.Priority
+		// Critical work does not wait for others to save.
+		if sx, sy := cs[x].p.leewayWanted(), cs[y].p.leewayWanted(); hurry && sx != sy {
+			return sx < sy
+		}
 		if a != z {
 			return a < z
 		}
@@ -530,6 +541,9 @@
 		}
 		out = append(out, c.p)
 		loss += c.loss
+		if lee := c.p.leewayWanted(); hurry && lee > 0 {
+			loss += 100 * float64(lee)
+		}
 		free = free.Plus(c.p.Job.Rec.Spec.Need)
 	}
 	return out, loss, free.Holds(ask.Need)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -94,7 +94,8 @@
 	Zone  string
 	Spot  bool
 	Free  Room
-	Warm  bool // holds the image asked for
+	Warm  bool // holds the image asked for, or fetches it already
+	Pulls int  // other images it is fetching, which share its rate
 	Avoid bool // failed this very task before
 	Held  bool // its room was freed for somebody else
 	Going bool // to be returned once empty: only work with accelerators
@@ -140,7 +141,7 @@
 func Score(m *Machine, a *Ask) float64 {
 	s := 0.0
 	if !m.Warm {
-		s += a.ImageGB / max(m.Type.PullGBPerS, 0.01)
+		s += a.ImageGB / max(m.Type.PullGBPerS, 0.01) * float64(1+m.Pulls)
 	}
 	left := m.Free.Minus(a.Need)
 	s += 2 * (left.Cores/max(m.Type.Cores, 1) + left.RAM/max(m.Type.RAM, 1))
