Demands added up per class; room in use counts by when it frees

Cause (simulated): each small job's demand was rounded up to a machine, while room in use counted in full.

--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"math"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
@@ -69,12 +70,7 @@
 		types = append(types, t)
 	}
 	sort.Slice(types, func(x, y int) bool { return types[x].Label < types[y].Label })
-	for _, j := range b.ranked(now) {
-		if d, ok := b.demandOf(j, now); ok {
-			ds = append(ds, d)
-		}
-	}
-	ds = append(ds, b.keeps()...)
+	ds = append(b.demands(now), b.keeps()...)
 	names := make([]string, 0, len(b.roster.Machines))
 	for n := range b.roster.Machines {
 		names = append(names, string(n))
@@ -137,17 +133,56 @@
 	return best
 }
 
-func (b *Book) demandOf(j *Job, now time.Time) (placement.Demand, bool) {
+// want is how many machines' places a job's queued tasks call for, as a
+// fraction of each, and the share of the room in use now that will be free for
+// them in time.
+func (b *Book) want(j *Job) (slots, turn float64) {
 	s := &j.Rec.Spec
 	n := j.left() - len(j.places)
 	n = min(n, b.quota(s, max(n, 0)))
 	if n <= 0 {
-		return placement.Demand{}, false
+		return 0, 0
 	}
+	turn = 1
+	slots = float64(n)
 	if s.Estimate > 0 && (s.Shape == Array || s.Shape == Gang && s.Tasks == 1) {
-		n = int(math.Ceil(float64(n) * min(1, float64(s.Estimate)/b.horizon(j))))
+		share := min(1, float64(s.Estimate)/b.horizon(j))
+		slots *= share
+		turn = min(1, b.horizon(j)/float64(s.Estimate))
+	}
+	return slots, turn
+}
+
+// demands adds up what the jobs of a class want: rounding each job up would
+// rent a machine for every small one.
+func (b *Book) demands(now time.Time) []placement.Demand {
+	type group struct {
+		class      string
+		guaranteed bool
+		need       placement.Room
+		zone       string
+		types      string
 	}
-	return placement.Demand{Ask: s.Ask(), Count: n, Spread: s.Spread, Preempt: s.Priority >= High}, true
+	sums := map[group]float64{}
+	at := map[group]int{}
+	var ds []placement.Demand
+	for _, j := range b.ranked(now) {
+		slots, turn := b.want(j)
+		if slots <= 0 {
+			continue
+		}
+		s := &j.Rec.Spec
+		g := group{s.Class, j.guaranteed, s.Need, s.Zone, strings.Join(s.Types, ",")}
+		if _, ok := at[g]; !ok {
+			at[g] = len(ds)
+			ds = append(ds, placement.Demand{Ask: s.Ask(), Spread: s.Spread, Preempt: s.Priority >= High, TurnShare: turn})
+		}
+		sums[g] += slots
+	}
+	for g, i := range at {
+		ds[i].Count = int(math.Ceil(sums[g] - 0.01))
+	}
+	return ds
 }
 
 // keeps is the room to hold free: some for critical work, and as much as they
@@ -163,7 +198,7 @@
 		w := b.warm[c]
 		if w.critical {
 			n := max(1, int(math.Ceil(b.set.Own.SpareShare*float64(w.busy))))
-			ds = append(ds, placement.Demand{Ask: w.ask, Count: n, Spread: true, Keep: true, Preempt: true})
+			ds = append(ds, placement.Demand{Ask: w.ask, Count: n, Spread: true, Keep: true, Preempt: true, TurnShare: 1})
 			continue
 		}
 		if w.shape == Array && b.aimed(c) {
@@ -182,7 +217,7 @@
 			n = 2 * (w.now + 1)
 		}
 		if n > 0 {
-			ds = append(ds, placement.Demand{Ask: w.ask, Count: n, Keep: true, Hold: young, Preempt: w.shape == Gang})
+			ds = append(ds, placement.Demand{Ask: w.ask, Count: n, Keep: true, Hold: young, Preempt: w.shape == Gang, TurnShare: 1})
 		}
 	}
 	return ds
--- a/internal/placement/rent.go
+++ b/internal/placement/rent.go
@@ -11,6 +11,9 @@
 	Preempt bool // may displace what runs on an array's room
 	Keep    bool // not waiting yet: only holds room free
 	Hold    bool // keeps what there is, but is no reason to hire
+	// TurnShare is how much of the room that is in use now will be free in
+	// time.
+	TurnShare float64
 }
 
 // Up is a machine that is there or on its way.
@@ -76,7 +79,7 @@
 			}
 			room := u.Free
 			if !d.Keep || d.Preempt {
-				room = room.Plus(u.Turn)
+				room = room.Plus(u.Turn.Times(d.TurnShare))
 			}
 			n := room.Count(d.Ask.Need, left)
 			if n == 0 {
