--- a/internal/claim/dispatch.go
+++ b/internal/claim/dispatch.go
@@ -114,6 +114,7 @@
 		case <-d.wake:
 		case <-time.After(500 * time.Millisecond):
 		}
+		d.probe(ctx)
 		for _, ba := range d.Book.batches() {
 			select {
 			case <-ctx.Done():
@@ -131,3 +132,46 @@
 		}
 	}
 }
+
+// probe asks machines whose reports are overdue: one that hangs, is cut off or
+// dead says nothing, while one that only lost its way here answers.
+func (d *Dispatcher) probe(ctx context.Context) {
+	for _, pr := range d.Book.toProbe(time.Now()) {
+		go func() {
+			rep := d.Commander.Show(ctx, pr.addr, 1200*time.Millisecond)
+			d.Book.probed(pr.machine, rep != nil)
+			if rep != nil && rep.Machine == pr.machine {
+				d.Book.Observe(rep, false, false)
+			}
+		}()
+	}
+}
+
+type probe struct {
+	machine ids.Machine
+	addr    string
+}
+
+func (b *Book) toProbe(now time.Time) (out []probe) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	overdue := b.set.Params.Workers.ReportS.Duration()*3/2 + 300*time.Millisecond
+	for _, m := range b.roster.Machines {
+		if m.Heard && !m.Deleting && !m.Probing && m.Addr != "" && m.Silent(now) > overdue && len(out) < 16 {
+			m.Probing = true
+			out = append(out, probe{m.Name, m.Addr})
+		}
+	}
+	return out
+}
+
+func (b *Book) probed(name ids.Machine, answered bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if m := b.roster.Machines[name]; m != nil {
+		m.Probing = false
+		if !answered {
+			m.Probes++
+		}
+	}
+}
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -345,7 +345,7 @@
 	for _, m := range b.roster.Machines {
 		if m.Heard {
 			heard++
-			if m.Silent(now) > silentAfter {
+			if m.Silent(now) > 2*b.set.Params.Workers.ReportS.Duration() {
 				silent++
 			}
 		}
@@ -382,7 +382,7 @@
 		return "the cloud takes it back"
 	case m.Draining != "" && empty:
 		return m.Draining
-	case m.Heard && m.Silent(now) > silentAfter && fewSilent:
+	case m.Heard && (m.Silent(now) > silentAfter || m.Probes >= 2 && m.Silent(now) > 2*b.set.Params.Workers.ReportS.Duration()) && fewSilent:
 		return "silent"
 	case !m.Heard && m.Booting && t != nil && now.Sub(m.HeldSince) > time.Duration(b.set.Own.StuckBootFactor*float64(t.BootS.Duration())):
 		return "it does not come up"
--- a/internal/worker/commander.go
+++ b/internal/worker/commander.go
@@ -72,3 +72,23 @@
 	}
 	return Uncertain, nil
 }
+
+// Show asks a worker for its report; nil when it does not answer in time.
+func (c *Commander) Show(ctx context.Context, addr string, timeout time.Duration) *Report {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, "GET", "http://"+addr+"/show", nil)
+	if err != nil {
+		return nil
+	}
+	res, err := c.HTTP.Do(req)
+	if err != nil {
+		return nil
+	}
+	defer res.Body.Close()
+	rep := &Report{}
+	if res.StatusCode != 200 || json.NewDecoder(res.Body).Decode(rep) != nil {
+		return nil
+	}
+	return rep
+}
--- a/internal/worker/roster.go
+++ b/internal/worker/roster.go
@@ -42,6 +42,8 @@
 	IdleSince time.Time
 	NeededAt  time.Time // when it was last needed, or came
 	Going     bool      // to be returned once empty
+	Probes    int       // questions without an answer since it fell silent
+	Probing   bool      // one is under way
 	Faults    int
 	Lates     []Late
 	Images    Images
@@ -91,7 +93,7 @@
 	v := Verdict{Fresh: true, Moved: m.Heard && rep.Session > m.Session}
 	m.Heard, m.Booting = true, false
 	m.Addr, m.Type, m.Zone, m.Spot = rep.Addr, rep.Type, rep.Zone, rep.Spot
-	m.Session, m.Tick, m.Seen = rep.Session, rep.Tick, now
+	m.Session, m.Tick, m.Seen, m.Probes = rep.Session, rep.Tick, now, 0
 	if rep.Token > m.Token {
 		m.Token = rep.Token
 	}
