--- a/internal/placement/rent.go
+++ b/internal/placement/rent.go
@@ -104,6 +104,21 @@
 			ups = append(ups, Up{Type: t, Zone: h.Zone, Spot: h.Spot, Coming: true, Free: t.Room().Minus(d.Ask.Need.Times(float64(n)))})
 			order = append(order, len(ups)-1)
 		}
+		// What cannot be had without accelerators keeps the machines with
+		// them that are there, for as long as it waits.
+		for _, i := range order {
+			u := &ups[i]
+			if left == 0 || d.Keep {
+				break
+			}
+			if u.Name == "" || u.Type.Accels == 0 || d.Ask.Need.Accels > 0 || !d.Ask.Allows(u.Type.Label, u.Zone, u.Spot) {
+				continue
+			}
+			if n := u.Free.Plus(u.Turn).Count(d.Ask.Need, left); n > 0 {
+				left -= n
+				needed[u.Name] = true
+			}
+		}
 	}
 	return hires, needed
 }
