--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -20,6 +20,7 @@
 	critical bool
 	shape    Shape
 	want     []int // tasks wanted at once, one sample a second
+	ran      []int // tasks placed at once
 	at       time.Time
 	now      int
 	busy     int
@@ -58,6 +59,9 @@
 		if w.want = append(w.want, w.now); len(w.want) > warmWindow {
 			w.want = w.want[1:]
 		}
+		if w.ran = append(w.ran, w.busy); len(w.ran) > warmWindow {
+			w.ran = w.ran[1:]
+		}
 	}
 }
 
@@ -264,14 +268,16 @@
 // staff is how many tasks of the class to have room for: the mean wanted and
 // its square root, the usual margin for work that comes at random.
 func (w *warmth) staff() int {
-	if len(w.want) == 0 {
+	if len(w.ran) == 0 {
 		return 0
 	}
+	// Placed ones only: a queue counts itself again for every second that it
+	// waits, and has a demand of its own.
 	sum := 0
-	for _, n := range w.want {
+	for _, n := range w.ran {
 		sum += n
 	}
-	a := float64(sum) / float64(len(w.want))
+	a := float64(sum) / float64(len(w.ran))
 	return int(math.Ceil(a + math.Sqrt(a) - 0.05))
 }
 
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -246,14 +246,16 @@
 	for k, m := range bd.mach {
 		warm := m.Images.Has(j.Rec.Spec.Image)
 		var pulling []string
+		hush := false
 		for p := range b.on[m.Name] {
 			img := p.Job.Rec.Spec.Image
 			warm = warm || img == j.Rec.Spec.Image
 			if (!p.seen || p.status == worker.Pulling) && !m.Images.Has(img) && !slices.Contains(pulling, img) {
 				pulling = append(pulling, img)
+				hush = hush || p.Job.Rec.Spec.Priority >= High && p.Job.Rec.Spec.Priority > j.Rec.Spec.Priority
 			}
 		}
-		bd.ms[k].Warm, bd.ms[k].Avoid, bd.ms[k].Pulls = warm, false, len(pulling)
+		bd.ms[k].Warm, bd.ms[k].Avoid, bd.ms[k].Pulls, bd.ms[k].Hush = warm, false, len(pulling), hush
 	}
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -96,6 +96,7 @@
 	Free  Room
 	Warm  bool // holds the image asked for, or fetches it already
 	Pulls int  // other images it is fetching, which share its rate
+	Hush  bool // fetches for work of higher priority, not to be slowed
 	Avoid bool // failed this very task before
 	Held  bool // its room was freed for somebody else
 	Going bool // to be returned once empty: only work with accelerators
@@ -142,6 +143,9 @@
 	s := 0.0
 	if !m.Warm {
 		s += a.ImageGB / max(m.Type.PullGBPerS, 0.01) * float64(1+m.Pulls)
+		if m.Hush {
+			s += 30
+		}
 	}
 	left := m.Free.Minus(a.Need)
 	s += 2 * (left.Cores/max(m.Type.Cores, 1) + left.RAM/max(m.Type.RAM, 1))
