--- a/internal/claim/dispatch.go
+++ b/internal/claim/dispatch.go
@@ -134,13 +134,25 @@
 }
 
 // probe asks machines whose reports are overdue: one that hangs, is cut off or
-// dead says nothing, while one that only lost its way here answers.
+// dead says nothing, while one that only lost its way here answers. After a
+// takeover it asks all that are known, instead of waiting until their workers
+// have found the new owner, and shows them its token.
 func (d *Dispatcher) probe(ctx context.Context) {
 	for _, pr := range d.Book.toProbe(time.Now()) {
 		go func() {
 			rep := d.Commander.Show(ctx, pr.addr, 1200*time.Millisecond)
+			if rep != nil && rep.Machine != pr.machine {
+				rep = nil
+			}
+			if rep != nil && rep.Token < pr.token {
+				// No orders: only so that what older owners sent is turned
+				// away from here on, and the answer tells what is there.
+				if _, fenced := d.Commander.Send(ctx, pr.addr, pr.token, rep.Session, nil); fenced != nil && fenced.Machine == pr.machine {
+					rep = fenced
+				}
+			}
 			d.Book.probed(pr.machine, rep != nil)
-			if rep != nil && rep.Machine == pr.machine {
+			if rep != nil {
 				d.Book.Observe(rep, false, false)
 			}
 		}()
@@ -150,6 +162,7 @@
 type probe struct {
 	machine ids.Machine
 	addr    string
+	token   ids.Generation
 }
 
 func (b *Book) toProbe(now time.Time) (out []probe) {
@@ -157,9 +170,12 @@
 	defer b.mu.Unlock()
 	overdue := b.set.Params.Workers.ReportS.Duration()*3/2 + 300*time.Millisecond
 	for _, m := range b.roster.Machines {
-		if m.Heard && !m.Deleting && !m.Probing && m.Addr != "" && m.Silent(now) > overdue && len(out) < 16 {
-			m.Probing = true
-			out = append(out, probe{m.Name, m.Addr})
+		if m.Deleting || m.Probing || m.Addr == "" || len(out) >= 24 {
+			continue
+		}
+		if m.Heard && m.Silent(now) > overdue || !m.Heard && !m.Booting && now.Sub(m.Asked) > time.Second {
+			m.Probing, m.Asked = true, now
+			out = append(out, probe{m.Name, m.Addr, b.gen})
 		}
 	}
 	return out
@@ -175,3 +191,39 @@
 		}
 	}
 }
+
+// Hint is what an owner tells the others of a machine, so that the next owner
+// need not find it out again. Nothing rests on it but time.
+type Hint struct {
+	Name   ids.Machine
+	Addr   string
+	Type   string
+	Zone   string
+	Spot   bool
+	Images worker.Images
+}
+
+// Hints lists the machines heard.
+func (b *Book) Hints() (out []Hint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, m := range b.roster.Machines {
+		if m.Heard && !m.Deleting && len(out) < 1000 {
+			out = append(out, Hint{m.Name, m.Addr, m.Type, m.Zone, m.Spot, m.Images.Copy()})
+		}
+	}
+	return out
+}
+
+// Seed takes hints of an earlier owner.
+func (b *Book) Seed(hs []Hint, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, h := range hs {
+		m := b.roster.Ensure(h.Name, now, b.trustSilence)
+		if !m.Heard {
+			m.Addr, m.Type, m.Zone, m.Spot = h.Addr, h.Type, h.Zone, h.Spot
+			m.Images = h.Images
+		}
+	}
+}
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -333,7 +333,7 @@
 		}
 		m := b.roster.Ensure(l.Name, now, b.trustSilence)
 		if !m.Heard {
-			m.Type, m.Zone, m.Spot = l.Type, l.Zone, l.Spot
+			m.Type, m.Zone, m.Spot, m.Addr = l.Type, l.Zone, l.Spot, l.Addr
 			m.Booting = l.Status == "booting"
 		}
 		m.HeldSince = now.Add(-l.Held.Duration())
--- a/internal/claim/pool.go
+++ b/internal/claim/pool.go
@@ -63,13 +63,13 @@
 	mu      sync.Mutex
 	term    *Term
 	resting time.Time // no campaign before
-	reached map[ids.Machine]time.Time
+	hints   []Hint    // of the last owner heard
 }
 
 // NewPool makes the pool's client; incarnation tells this process from its
 // node's earlier ones.
 func NewPool(set *config.Settings, c *state.Client, cmd *worker.Commander, incarnation string) *Pool {
-	p := &Pool{Set: set, State: c, Commander: cmd, incarnation: incarnation, reached: map[ids.Machine]time.Time{}}
+	p := &Pool{Set: set, State: c, Commander: cmd, incarnation: incarnation}
 	p.mirror = state.NewMirror(c, PoolPrefix, 50*time.Millisecond)
 	p.jobs = state.NewMirror(c, JobPrefix, 250*time.Millisecond)
 	p.jobs.OnChange = func(ch state.Change) {
@@ -245,6 +245,7 @@
 	t.Committer.OnStored = t.Dispatcher.Wake
 	p.State.Budget().SetOwner(true)
 	p.mu.Lock()
+	b.Seed(p.hints, now)
 	p.term = t
 	p.mu.Unlock()
 	slog.Info("took the machine pool over", "generation", gen)
@@ -357,6 +358,15 @@
 	p.State.Budget().SetOwner(false)
 }
 
+// Hear keeps an owner's hints for the case that this node comes next.
+func (p *Pool) Hear(hs []Hint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.term == nil {
+		p.hints = hs
+	}
+}
+
 // Superseded is told by a peer of a higher generation; the answer confirms
 // that this node answers no beats under an older one.
 func (p *Pool) Superseded(gen ids.Generation) bool {
@@ -405,9 +415,6 @@
 	t := p.current()
 	if t == nil {
 		if node, ok := p.Owner(); ok {
-			p.mu.Lock()
-			p.reached[rep.Machine] = time.Now()
-			p.mu.Unlock()
 			return nil, 421, worker.Redirect{AnswerTo: node}
 		}
 		return nil, 503, worker.Redirect{}
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -127,6 +127,10 @@
 
 // saw notes a task that is on its machine.
 func (b *Book) saw(p *Place, pc *worker.Piece, m *worker.Machine, now time.Time) {
+	if !p.seen || p.status != pc.Status {
+		slog.Debug("seen", "class", p.Job.Rec.Spec.Class, "job", p.Job.Rec.Spec.ID, "task", p.Index, "machine", m.Name, "status", pc.Status,
+			"sincePlaced", now.Sub(p.since).Round(time.Millisecond))
+	}
 	p.seen, p.sent = true, true
 	if p.status != pc.Status && pc.Status == worker.Running {
 		p.ranSince = now
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -41,6 +41,8 @@
 type Hello struct {
 	Node    ids.Node
 	StateOK bool
+	Owner   bool
+	Hints   []claim.Hint // from the owner only
 }
 
 // Empty is no answer.
@@ -250,13 +252,20 @@
 
 func (l *Link) hello() Hello {
 	age, ok := l.state.SinceGood()
-	return Hello{Node: l.set.HostName, StateOK: ok && age < 3*time.Second}
+	h := Hello{Node: l.set.HostName, StateOK: ok && age < 3*time.Second}
+	if b := l.pool.Book(); b != nil {
+		h.Owner, h.Hints = true, b.Hints()
+	}
+	return h
 }
 
 func (l *Link) note(h *Hello) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.seen[h.Node] = seen{time.Now(), h.StateOK}
+	if h.Owner {
+		l.pool.Hear(h.Hints)
+	}
 }
 
 // OthersServed tells whether some other controller has lately been served by
--- a/internal/worker/roster.go
+++ b/internal/worker/roster.go
@@ -44,6 +44,7 @@
 	Going     bool      // to be returned once empty
 	Probes    int       // questions without an answer since it fell silent
 	Probing   bool      // one is under way
+	Asked     time.Time
 	Faults    int
 	Lates     []Late
 	Images    Images
@@ -150,29 +151,34 @@
 // Images guesses which images a machine still holds: the most recently used
 // that fit its cache. Workers do not report them.
 type Images struct {
-	names []string
-	sizes []float64
+	Names []string
+	Sizes []float64
+}
+
+// Copy is a copy that shares nothing.
+func (im *Images) Copy() Images {
+	return Images{append([]string(nil), im.Names...), append([]float64(nil), im.Sizes...)}
 }
 
 // Use moves an image to the front and drops what no longer fits.
 func (im *Images) Use(name string, gb, cache float64) {
 	names, sizes := []string{name}, []float64{gb}
 	sum := gb
-	for i, n := range im.names {
+	for i, n := range im.Names {
 		if n == name {
 			continue
 		}
-		if sum += im.sizes[i]; sum > cache {
+		if sum += im.Sizes[i]; sum > cache {
 			break
 		}
-		names, sizes = append(names, n), append(sizes, im.sizes[i])
+		names, sizes = append(names, n), append(sizes, im.Sizes[i])
 	}
-	im.names, im.sizes = names, sizes
+	im.Names, im.Sizes = names, sizes
 }
 
 // Has tells whether the image is likely there.
 func (im *Images) Has(name string) bool {
-	for _, n := range im.names {
+	for _, n := range im.Names {
 		if n == name {
 			return true
 		}
