--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -105,6 +105,8 @@
 	lost         bool
 	sampled      time.Time
 	moved        time.Time
+	emptying     ids.Machine // its services are being moved elsewhere
+	emptyingAt   time.Time
 	returned     map[ids.Machine]bool // deletions the cloud confirmed
 
 	wakeCommit, wakePlan chan struct{}
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -86,7 +86,7 @@
 		if t == nil || m.Failed || m.Deleting || m.Draining != "" || !m.TakenAt.IsZero() {
 			continue
 		}
-		if m.Heard && !m.Usable(now, b.set.Params.Workers.ReportS) {
+		if m.Heard && !m.Usable(now, b.set.Params.Workers.ReportS) || m.Name == b.emptying {
 			continue
 		}
 		u := placement.Up{Name: m.Name, Type: t, Zone: m.Zone, Spot: m.Spot, Coming: !m.Heard,
@@ -365,7 +365,7 @@
 		}
 		// Dear machines are not kept by cheap work that could run elsewhere.
 		t := b.types[m.Type]
-		m.Going = t != nil && t.Accels > 0 && now.Sub(m.NeededAt).Seconds() > b.set.Own.IdleReturnS
+		m.Going = m.Name == b.emptying || t != nil && t.Accels > 0 && now.Sub(m.NeededAt).Seconds() > b.set.Own.IdleReturnS
 		if why := b.whyReturn(m, now, silentAfter, fewSilent, needed); why != "" || m.Deleting {
 			if !m.Deleting {
 				slog.Info("machine returned", "machine", m.Name, "type", m.Type, "spot", m.Spot, "why", why)
@@ -388,6 +388,8 @@
 		return "the cloud takes it back"
 	case m.Draining != "" && empty:
 		return m.Draining
+	case m.Name == b.emptying && empty:
+		return "its work was moved together with other work"
 	case m.Heard && (m.Silent(now) > silentAfter || m.Probes >= 2 && m.Silent(now) > 2*b.set.Params.Workers.ReportS.Duration()) && fewSilent:
 		return "silent"
 	case !m.Heard && m.Booting && t != nil && now.Sub(m.HeldSince) > time.Duration(b.set.Own.StuckBootFactor*float64(t.BootS.Duration())):
@@ -399,3 +401,65 @@
 	}
 	return ""
 }
+
+// Emptiable is a machine whose few services others might take over.
+type Emptiable struct {
+	Name  ids.Machine
+	Needs []placement.Demand
+}
+
+// settled is how long a replica must have run before it is moved: a start that
+// is soon undone is worth nothing.
+const settledFor = 40 * time.Second
+
+// Emptiables lists machines that only services hold, least used for their
+// price first; none while one is being emptied.
+func (b *Book) Emptiables(now time.Time) []Emptiable {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if m := b.roster.Machines[b.emptying]; m != nil && now.Sub(b.emptyingAt) < time.Minute {
+		return nil
+	}
+	b.emptying = ""
+	var out []Emptiable
+	worth := map[ids.Machine]float64{}
+next:
+	for name, ps := range b.on {
+		m := b.roster.Machines[name]
+		if m == nil || b.types[m.Type] == nil || !m.Usable(now, b.set.Params.Workers.ReportS) || now.Sub(m.HeldSince) < time.Minute || m.Going {
+			continue
+		}
+		t := b.types[m.Type]
+		e := Emptiable{Name: name}
+		for p := range ps {
+			if p.Job.Rec.Spec.Shape != Service || p.stopping || p.status != worker.Running || now.Sub(p.ranSince) < settledFor || p.Job.Rec.Spec.Need.Accels > 0 {
+				continue next
+			}
+			ask := p.Job.Rec.Spec.Ask()
+			ask.Zone = m.Zone
+			e.Needs = append(e.Needs, placement.Demand{Ask: ask, Count: 1, Keep: true})
+		}
+		worth[name] = b.usedOn(name).Cores / t.PriceOf(m.Spot)
+		out = append(out, e)
+	}
+	sort.Slice(out, func(x, y int) bool {
+		if worth[out[x].Name] != worth[out[y].Name] {
+			return worth[out[x].Name] < worth[out[y].Name]
+		}
+		return out[x].Name < out[y].Name
+	})
+	return out[:min(len(out), 6)]
+}
+
+// Empty begins to move a machine's services elsewhere, or with no name gives
+// that up; it tells whether there was something to give up.
+func (b *Book) Empty(name ids.Machine, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	was := b.emptying
+	b.emptying, b.emptyingAt = name, now
+	if name != "" {
+		slog.Info("machine is being emptied", "machine", name)
+	}
+	return was != "" && b.roster.Machines[was] != nil
+}
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -623,25 +623,30 @@
 // moveReplica takes one replica at a time off a machine that is only kept by
 // it, when another machine has room and the image.
 func (b *Book) moveReplica(m *worker.Machine, now time.Time) {
-	if now.Sub(b.moved) < 3*time.Second {
+	if now.Sub(b.moved) < 1500*time.Millisecond {
 		return
 	}
 	for p := range b.on[m.Name] {
-		if p.Job.Rec.Spec.Shape != Service || p.stopping || p.status != worker.Running {
+		if p.Job.Rec.Spec.Shape != Service || p.stopping || p.status != worker.Running || now.Sub(p.ranSince) < settledFor {
 			continue
 		}
 		bd := b.lookAround(now)
 		b.warmFor(p.Job, bd)
 		ask := p.Job.Rec.Spec.Ask()
+		best := -1
 		for k := range bd.ms {
 			t := &bd.ms[k]
-			if t.Name != m.Name && t.Zone == m.Zone && t.Warm && !t.Going && t.Type.Accels == 0 && t.Free.Holds(ask.Need) && ask.Allows(t.Type.Label, t.Zone, t.Spot) {
-				b.moved = now
-				b.reserved[t.Name] = reservation{p.Job.Rec.Spec.ID, now.Add(5 * time.Second)}
-				b.stop(p, p.leewayWanted(), "moved off "+string(m.Name)+", which is to be returned")
-				return
+			if t.Name != m.Name && t.Zone == m.Zone && t.Warm && !t.Going && t.Type.Accels == 0 && t.Free.Holds(ask.Need) && ask.Allows(t.Type.Label, t.Zone, t.Spot) &&
+				(best < 0 || placement.Score(t, &ask) < placement.Score(&bd.ms[best], &ask)) {
+				best = k
 			}
 		}
+		if best >= 0 {
+			b.moved = now
+			b.reserved[bd.ms[best].Name] = reservation{p.Job.Rec.Spec.ID, now.Add(5 * time.Second)}
+			b.stop(p, p.leewayWanted(), "moved off "+string(m.Name)+", which is to be returned")
+			return
+		}
 	}
 }
 
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -102,9 +102,36 @@
 	if len(k.open) > 0 || k.listed.IsZero() {
 		return // what they rent is not known yet
 	}
+	if len(hires) > 0 && k.Book.Empty("", time.Now()) {
+		return // what was being emptied is wanted after all
+	}
 	for _, h := range hires {
 		k.hire(ctx, h)
 	}
+	if len(hires) == 0 {
+		k.consolidate()
+	}
+}
+
+// consolidate finds a machine whose services the others could take over with
+// nothing hired for it, and lets it be emptied.
+func (k *Keeper) consolidate() {
+	now := time.Now()
+	for _, e := range k.Book.Emptiables(now) {
+		ds, ups, types := k.Book.Needs(now)
+		rest := ups[:0]
+		for _, u := range ups {
+			if u.Name != e.Name && !u.Coming {
+				rest = append(rest, u)
+			}
+		}
+		hires, _ := placement.Rent(append(append([]placement.Demand(nil), e.Needs...), ds...), rest, types,
+			func(string, string, bool) bool { return true })
+		if len(hires) == 0 {
+			k.Book.Empty(e.Name, now)
+			return
+		}
+	}
 }
 
 func (k *Keeper) returns(ctx context.Context, needed map[ids.Machine]bool) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -99,7 +99,7 @@
 	Hush  bool // fetches for work of higher priority, not to be slowed
 	Avoid bool // failed this very task before
 	Held  bool // its room was freed for somebody else
-	Going bool // to be returned once empty: only work with accelerators
+	Going bool // to be returned once empty; dear ones still take work with accelerators
 }
 
 // Zoner tells whether one more task of the job may go to a zone.
@@ -115,7 +115,7 @@
 	best, bestScore := -1, 0.0
 	look := func(i int) {
 		m := &ms[i]
-		if m.Held || m.Going && a.Need.Accels == 0 || !a.Allows(m.Type.Label, m.Zone, m.Spot) || !m.Free.Holds(a.Need) || zone != nil && !zone(m.Zone) {
+		if m.Held || m.Going && (a.Need.Accels == 0 || m.Type.Accels == 0) || !a.Allows(m.Type.Label, m.Zone, m.Spot) || !m.Free.Holds(a.Need) || zone != nil && !zone(m.Zone) {
 			return
 		}
 		if s := Score(m, a); best < 0 || s < bestScore {
