--- a/internal/claim/dispatch.go
+++ b/internal/claim/dispatch.go
@@ -140,7 +140,7 @@
 func (d *Dispatcher) probe(ctx context.Context) {
 	for _, pr := range d.Book.toProbe(time.Now()) {
 		go func() {
-			rep := d.Commander.Show(ctx, pr.addr, 1200*time.Millisecond)
+			rep := d.Commander.Show(ctx, pr.addr, 800*time.Millisecond)
 			if rep != nil && rep.Machine != pr.machine {
 				rep = nil
 			}
@@ -168,7 +168,7 @@
 func (b *Book) toProbe(now time.Time) (out []probe) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	overdue := b.set.Params.Workers.ReportS.Duration()*3/2 + 300*time.Millisecond
+	overdue := b.set.Params.Workers.ReportS.Duration()*5/4 + 250*time.Millisecond
 	for _, m := range b.roster.Machines {
 		if m.Deleting || m.Probing || m.Addr == "" || len(out) >= 24 {
 			continue
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -265,8 +265,8 @@
 	return int(b.set.Own.BurstCostShare * fleet / each)
 }
 
-// staff is how many tasks of the class to have room for: the mean wanted and
-// its square root, the usual margin for work that comes at random.
+// staff is how many tasks of the class to have room for: the mean placed and
+// most of its square root, a margin for work that comes at random.
 func (w *warmth) staff() int {
 	if len(w.ran) == 0 {
 		return 0
@@ -278,7 +278,7 @@
 		sum += n
 	}
 	a := float64(sum) / float64(len(w.ran))
-	return int(math.Ceil(a + math.Sqrt(a) - 0.05))
+	return int(math.Ceil(a + 0.7*math.Sqrt(a) - 0.05))
 }
 
 // startsSoon tells whether a class is to start before a hired machine could be
@@ -351,7 +351,7 @@
 	for _, m := range b.roster.Machines {
 		if m.Heard {
 			heard++
-			if m.Silent(now) > 2*b.set.Params.Workers.ReportS.Duration() {
+			if m.Silent(now) > b.set.Params.Workers.ReportS.Duration()*7/4 {
 				silent++
 			}
 		}
@@ -390,7 +390,7 @@
 		return m.Draining
 	case m.Name == b.emptying && empty:
 		return "its work was moved together with other work"
-	case m.Heard && (m.Silent(now) > silentAfter || m.Probes >= 2 && m.Silent(now) > 2*b.set.Params.Workers.ReportS.Duration()) && fewSilent:
+	case m.Heard && (m.Silent(now) > silentAfter || m.Probes >= 2 && m.Silent(now) > b.set.Params.Workers.ReportS.Duration()*7/4) && fewSilent:
 		return "silent"
 	case !m.Heard && m.Booting && t != nil && now.Sub(m.HeldSince) > time.Duration(b.set.Own.StuckBootFactor*float64(t.BootS.Duration())):
 		return "it does not come up"
--- a/internal/placement/rent.go
+++ b/internal/placement/rent.go
@@ -45,6 +45,7 @@
 func Rent(ds []Demand, ups []Up, types []*Type, ok Offers) (hires []Hire, needed map[ids.Machine]bool) {
 	needed = map[ids.Machine]bool{}
 	perZone := map[string]int{}
+	var unmet []Demand
 	for _, u := range ups {
 		perZone[u.Zone]++
 	}
@@ -104,19 +105,25 @@
 			ups = append(ups, Up{Type: t, Zone: h.Zone, Spot: h.Spot, Coming: true, Free: t.Room().Minus(d.Ask.Need.Times(float64(n)))})
 			order = append(order, len(ups)-1)
 		}
-		// What cannot be had without accelerators keeps the machines with
-		// them that are there, for as long as it waits.
-		for _, i := range order {
-			u := &ups[i]
-			if left == 0 || d.Keep {
-				break
-			}
-			if u.Name == "" || u.Type.Accels == 0 || d.Ask.Need.Accels > 0 || !d.Ask.Allows(u.Type.Label, u.Zone, u.Spot) {
-				continue
-			}
-			if n := u.Free.Plus(u.Turn).Count(d.Ask.Need, left); n > 0 {
+		if left > 0 && !d.Keep && d.Ask.Need.Accels == 0 {
+			d.Count = left
+			unmet = append(unmet, d)
+		}
+	}
+	// What cannot be had without accelerators goes to machines with them that
+	// are needed anyhow, and only then keeps others, for as long as it waits.
+	for _, d := range unmet {
+		left := d.Count
+		for _, anyhow := range []bool{true, false} {
+			for _, i := range order {
+				u := &ups[i]
+				if left == 0 || u.Name == "" || u.Type.Accels == 0 || needed[u.Name] != anyhow || !d.Ask.Allows(u.Type.Label, u.Zone, u.Spot) {
+					continue
+				}
+				n := u.Free.Plus(u.Turn).Count(d.Ask.Need, left)
 				left -= n
-				needed[u.Name] = true
+				u.Free = u.Free.Minus(d.Ask.Need.Times(float64(n)))
+				needed[u.Name] = needed[u.Name] || n > 0
 			}
 		}
 	}
