Nothing is stopped that could not be started again; dead machines of earlier owners found sooner

Ruled out: the takeover itself (4.3 s after the outage). Watches no longer count as proof that the service is well.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -109,6 +109,11 @@
 	emptyingAt   time.Time
 	returned     map[ids.Machine]bool // deletions the cloud confirmed
 
+	// Storing tells whether the state service has answered just now. While it
+	// does not, nothing that is stopped could be started again, so nothing is
+	// stopped that could go on.
+	Storing func() bool
+
 	wakeCommit, wakePlan chan struct{}
 }
 
@@ -126,6 +131,7 @@
 		reserved:     map[ids.Machine]reservation{},
 		warm:         map[string]*warmth{},
 		returned:     map[ids.Machine]bool{},
+		Storing:      func() bool { return true },
 		wakeCommit:   make(chan struct{}, 1), wakePlan: make(chan struct{}, 1),
 	}
 }
--- a/internal/claim/dispatch.go
+++ b/internal/claim/dispatch.go
@@ -168,12 +168,12 @@
 func (b *Book) toProbe(now time.Time) (out []probe) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	overdue := b.set.Params.Workers.ReportS.Duration()*5/4 + 250*time.Millisecond
+	overdue := b.set.Params.Workers.ReportS.Duration() / 2
 	for _, m := range b.roster.Machines {
 		if m.Deleting || m.Probing || m.Addr == "" || len(out) >= 24 {
 			continue
 		}
-		if m.Heard && m.Silent(now) > overdue || !m.Heard && !m.Booting && now.Sub(m.Asked) > time.Second {
+		if m.Heard && m.Silent(now) > overdue && now.Sub(m.Asked) > overdue/2 || !m.Heard && !m.Booting && now.Sub(m.Asked) > time.Second {
 			m.Probing, m.Asked = true, now
 			out = append(out, probe{m.Name, m.Addr, b.gen})
 		}
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -122,8 +122,8 @@
 			due = min(due, float64(o.WithinS))
 		}
 	}
-	// A third of the slack: the rest is for arrivals in bunches and bad luck.
-	return max(10, min(60, (due-float64(s.Estimate))/3))
+	// A quarter of the slack: the rest is for arrivals in bunches and bad luck.
+	return max(10, min(60, (due-float64(s.Estimate))/4))
 }
 
 // fresh is how long a new machine for such tasks takes to be up with the image.
@@ -349,15 +349,15 @@
 	silentAfter := 3*b.set.Params.Workers.ReportS.Duration() + 4*time.Second
 	heard, silent := 0, 0
 	for _, m := range b.roster.Machines {
-		if m.Heard {
+		switch {
+		case m.Heard && m.Silent(now) <= b.silentFor():
 			heard++
-			if m.Silent(now) > b.set.Params.Workers.ReportS.Duration()*7/4 {
-				silent++
-			}
+		case m.Heard || !m.Booting && m.Probes >= 2:
+			silent++
 		}
 	}
 	// Many silent machines at once mean that this node is cut off, not they.
-	fewSilent := silent <= max(1, heard/3)
+	fewSilent := silent <= max(1, heard/2) && heard > 0 && b.Storing()
 	var out []ids.Machine
 	for _, m := range b.roster.Machines {
 		if needed[m.Name] || !m.Heard {
@@ -390,11 +390,13 @@
 		return m.Draining
 	case m.Name == b.emptying && empty:
 		return "its work was moved together with other work"
-	case m.Heard && (m.Silent(now) > silentAfter || m.Probes >= 2 && m.Silent(now) > b.set.Params.Workers.ReportS.Duration()*7/4) && fewSilent:
+	case m.Heard && (m.Silent(now) > silentAfter || m.Probes >= 2 && m.Silent(now) > b.silentFor()) && fewSilent:
 		return "silent"
 	case !m.Heard && m.Booting && t != nil && now.Sub(m.HeldSince) > time.Duration(b.set.Own.StuckBootFactor*float64(t.BootS.Duration())):
 		return "it does not come up"
-	case !m.Heard && !m.Booting && now.Sub(m.Born) > 2*silentAfter && fewSilent:
+	case !m.Heard && !m.Booting && fewSilent && (now.Sub(m.Born) > 2*silentAfter || !empty && (m.Probes >= 4 || m.Addr == "" && now.Sub(m.Born) > silentAfter)):
+		// It held tasks for an earlier owner and neither answers nor is
+		// listed: returning it proves its tasks gone.
 		return "up but never heard"
 	case m.Heard && empty && !needed[m.Name] && now.Sub(m.IdleSince).Seconds() > b.set.Own.IdleReturnS && now.Sub(m.HeldSince) > time.Minute:
 		return "idle"
@@ -402,6 +404,11 @@
 	return ""
 }
 
+// silentFor is how long a machine that leaves questions unanswered is given.
+// Its replicas are down meanwhile, so it is short; a node that is itself cut
+// off sees many such machines and then returns none.
+func (b *Book) silentFor() time.Duration { return b.set.Params.Workers.ReportS.Duration() * 5 / 4 }
+
 // Emptiable is a machine whose few services others might take over.
 type Emptiable struct {
 	Name  ids.Machine
@@ -460,6 +467,9 @@
 	b.emptying, b.emptyingAt = name, now
 	if name != "" {
 		slog.Info("machine is being emptied", "machine", name)
+		if m := b.roster.Machines[name]; m != nil {
+			m.Going = true
+		}
 	}
 	return was != "" && b.roster.Machines[was] != nil
 }
--- a/internal/claim/pool.go
+++ b/internal/claim/pool.go
@@ -237,6 +237,11 @@
 	w := &p.Set.Params.Workers
 	trust := now.Add(ids.Seconds(p.Set.Own.BeatGraceS).Drifted() + w.LeaseS.Drifted())
 	b := NewBook(p.Set, writer, gen, trust)
+	fresh := time.Duration(p.Set.Own.PoolHoldMs) * time.Millisecond / 2
+	b.Storing = func() bool {
+		age, ok := p.State.SinceGood()
+		return ok && age < fresh
+	}
 	tctx, cancel := context.WithCancel(ctx)
 	t := &Term{Gen: gen, Book: b, hold: hold, renewed: sent, loaded: make(chan struct{}), cancel: cancel}
 	t.Committer = NewCommitter(b, p.State, p.Set.HostName, stamp)
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -444,7 +444,7 @@
 // preempt frees room for one task of j by stopping others, where the rules of
 // priority and guarantee allow it, at the least loss.
 func (b *Book) preempt(j *Job, ask *placement.Ask, bd *board, now time.Time) (bool, string) {
-	if j.Rec.Spec.Priority < High && !j.guaranteed {
+	if j.Rec.Spec.Priority < High && !j.guaranteed || !b.Storing() {
 		return false, ""
 	}
 	zone := b.zoneRule(j)
@@ -610,7 +610,7 @@
 				left := m.TakenAt.Sub(now)
 				// Saving goes as late as is safe; what cannot save and cannot
 				// finish in time begins again elsewhere at once.
-				if lee > 0 && left > (lee+3).Duration() || lee == 0 && p.finishes(left, now) {
+				if lee > 0 && left > (lee+3).Duration() || lee == 0 && (p.finishes(left, now) || !b.Storing()) {
 					continue
 				}
 				why = "the cloud takes " + string(name) + " back"
@@ -623,7 +623,7 @@
 // moveReplica takes one replica at a time off a machine that is only kept by
 // it, when another machine has room and the image.
 func (b *Book) moveReplica(m *worker.Machine, now time.Time) {
-	if now.Sub(b.moved) < 1500*time.Millisecond {
+	if now.Sub(b.moved) < 1500*time.Millisecond || !b.Storing() {
 		return
 	}
 	for p := range b.on[m.Name] {
--- a/internal/claim/stories_test.go
+++ b/internal/claim/stories_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/fake"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
 )
 
 func TestAnArrayRunsToItsEndAndStaysDone(t *testing.T) {
@@ -339,3 +340,53 @@
 		w.until(10*time.Second, "the other follows", func() bool { return len(w.on("job-16/0")) == 1 && len(w.on("job-16/1")) == 1 })
 	})
 }
+
+func TestNothingIsStoppedThatAnOutageWouldKeepFromStarting(t *testing.T) {
+	story(t, func(t *testing.T, w *world) {
+		w.start("a")
+		w.worker("m1", "north")
+		w.worker("m2", "north")
+		time.Sleep(10 * time.Second)
+		s := spec("job-17", "standing", 1)
+		w.submit("a", s)
+		w.until(3*time.Second, "it runs", func() bool { return len(w.on("job-17/0")) == 1 })
+		at := w.on("job-17/0")[0]
+		// The image must be on the other machine too, or nothing moves there.
+		w.submit("a", spec("job-18", "array", 8))
+		w.until(3*time.Second, "arrays run", func() bool { return len(w.on("job-18/0")) == 1 })
+		time.Sleep(3 * time.Second)
+		for i := range 8 {
+			for _, k := range w.workers {
+				k.End("job-18/"+string(rune('0'+i)), "done")
+			}
+		}
+		time.Sleep(45 * time.Second)
+		w.store.SetDown(true)
+		time.Sleep(2 * time.Second)
+		w.nodes["a"].pool.Book().Empty(ids.Machine(at), time.Now())
+		w.hold(10*time.Second, "not moved while nothing can be stored", func() bool { return len(w.on("job-17/0")) == 1 })
+		w.store.SetDown(false)
+		w.until(10*time.Second, "moved afterwards", func() bool { n := w.on("job-17/0"); return len(n) == 1 && n[0] != at })
+	})
+}
+
+func TestANewOwnerAsksMachinesBeforeTheirWorkersFindIt(t *testing.T) {
+	story(t, func(t *testing.T, w *world) {
+		a := w.start("a")
+		b := w.start("b")
+		w.worker("m1", "north")
+		w.until(12*time.Second, "heard", func() bool {
+			o := a.pool.Book()
+			return o != nil && len(o.Hints()) == 1 || b.pool.Book() != nil && len(b.pool.Book().Hints()) == 1
+		})
+		first, second := a, b
+		if a.pool.Book() == nil {
+			first, second = b, a
+		}
+		second.pool.Hear(first.pool.Book().Hints())
+		w.worn("m1").SetSilent(true) // so that only being asked tells of it
+		first.kill()
+		w.until(5*time.Second, "a successor", func() bool { return second.pool.Book() != nil })
+		w.until(2*time.Second, "m1 is known", func() bool { return len(second.pool.Book().Hints()) == 1 })
+	})
+}
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -151,8 +151,15 @@
 	}
 }
 
-// ServeHTTP takes direct commands.
+// ServeHTTP takes direct commands and shows the report.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if r.Method == "GET" {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.checkLease()
+		reply(rw, 200, w.report())
+		return
+	}
 	var in struct {
 		Token   uint64  `json:"baton"`
 		Session uint64  `json:"stint"`
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -158,7 +159,11 @@
 	case 503, 429:
 		return res.StatusCode, fmt.Errorf("%w: status %d", ErrRefused, res.StatusCode)
 	case 200, 404, 409, 410:
-		c.good.Store(int64(time.Since(c.start)))
+		// A watch may end with 200 in the middle of an outage: it proves
+		// nothing of the service's health.
+		if !strings.HasPrefix(path, "/follow") {
+			c.good.Store(int64(time.Since(c.start)))
+		}
 		if out != nil && res.StatusCode != 410 {
 			if err := json.Unmarshal(raw, out); err != nil && res.StatusCode == 200 {
 				return 0, fmt.Errorf("%w: %v", ErrUnknown, err)
--- a/internal/worker/roster.go
+++ b/internal/worker/roster.go
@@ -29,6 +29,7 @@
 	Tick    ids.Tick
 	Token   ids.Generation
 	Seen    time.Time // when the newest report came in
+	BeatAt  time.Time // when a beat of its was last answered
 	LapseAt time.Time // from here on its worker has surely ended every task
 	TakenAt time.Time // zero without a spot notice
 	Pieces  []Piece
@@ -108,7 +109,7 @@
 		if rep.Token < fenced {
 			lapse = later(m.LapseAt, lapse)
 		}
-		m.LapseAt = lapse
+		m.LapseAt, m.BeatAt = lapse, now
 	}
 	kept := m.Lates[:0]
 	for _, l := range m.Lates {
@@ -144,6 +145,15 @@
 
 // Usable tells whether new tasks may go there.
 func (m *Machine) Usable(now time.Time, report ids.Seconds) bool {
+	// Answers to questions renew no lease: a machine whose beats do not come
+	// through soon loses whatever is put there.
+	beats := m.BeatAt
+	if beats.IsZero() {
+		beats = m.Born
+	}
+	if now.Sub(beats) > 4*report.Duration()+2*time.Second {
+		return false
+	}
 	return m.Heard && m.Draining == "" && !m.Failed && !m.Deleting && m.TakenAt.IsZero() &&
 		m.Silent(now) < 2*report.Duration()+time.Second
 }
