--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -478,3 +478,23 @@
 	return map[string]any{"generation": b.gen, "jobs": len(b.jobs), "placed": places, "machines": len(b.roster.Machines),
 		"heard": heard, "draining": draining, "waiting": waiting}
 }
+
+// cutOff tells whether this node has lost most machines while others reach
+// them.
+func (b *Book) cutOff(stranded []ids.Machine, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	overdue := b.set.Params.Workers.ReportS.Duration() * 5 / 4
+	silent, heard := 0, 0
+	for _, m := range b.roster.Machines {
+		if m.Heard && m.Silent(now) < overdue {
+			heard++
+		}
+	}
+	for _, name := range stranded {
+		if m := b.roster.Machines[name]; m != nil && m.Silent(now) >= overdue {
+			silent++
+		}
+	}
+	return silent >= 2 && silent > heard
+}
--- a/internal/claim/dispatch.go
+++ b/internal/claim/dispatch.go
@@ -175,6 +175,9 @@
 		}
 		if m.Heard && m.Silent(now) > overdue && now.Sub(m.Asked) > overdue/2 || !m.Heard && !m.Booting && now.Sub(m.Asked) > time.Second {
 			m.Probing, m.Asked = true, now
+			if m.Probes == 0 {
+				m.Doubted = now
+			}
 			out = append(out, probe{m.Name, m.Addr, b.gen})
 		}
 	}
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -347,17 +347,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	silentAfter := 3*b.set.Params.Workers.ReportS.Duration() + 4*time.Second
-	heard, silent := 0, 0
-	for _, m := range b.roster.Machines {
-		switch {
-		case m.Heard && m.Silent(now) <= b.silentFor():
-			heard++
-		case m.Heard || !m.Booting && m.Probes >= 2:
-			silent++
-		}
-	}
-	// Many silent machines at once mean that this node is cut off, not they.
-	fewSilent := silent <= max(1, heard/2) && heard > 0 && b.Storing()
 	var out []ids.Machine
 	for _, m := range b.roster.Machines {
 		if needed[m.Name] || !m.Heard {
@@ -366,7 +355,7 @@
 		// Dear machines are not kept by cheap work that could run elsewhere.
 		t := b.types[m.Type]
 		m.Going = m.Name == b.emptying || t != nil && t.Accels > 0 && now.Sub(m.NeededAt).Seconds() > b.set.Own.IdleReturnS
-		if why := b.whyReturn(m, now, silentAfter, fewSilent, needed); why != "" || m.Deleting {
+		if why := b.whyReturn(m, now, silentAfter, needed); why != "" || m.Deleting {
 			if !m.Deleting {
 				slog.Info("machine returned", "machine", m.Name, "type", m.Type, "spot", m.Spot, "why", why)
 				m.Deleting = true
@@ -378,7 +367,7 @@
 	return out
 }
 
-func (b *Book) whyReturn(m *worker.Machine, now time.Time, silentAfter time.Duration, fewSilent bool, needed map[ids.Machine]bool) string {
+func (b *Book) whyReturn(m *worker.Machine, now time.Time, silentAfter time.Duration, needed map[ids.Machine]bool) string {
 	empty := len(b.on[m.Name]) == 0
 	t := b.types[m.Type]
 	switch {
@@ -390,11 +379,11 @@
 		return m.Draining
 	case m.Name == b.emptying && empty:
 		return "its work was moved together with other work"
-	case m.Heard && (m.Silent(now) > silentAfter || m.Probes >= 2 && m.Silent(now) > b.silentFor()) && fewSilent:
+	case m.Heard && (m.Silent(now) > silentAfter || m.Probes >= 2 && m.Silent(now) > b.silentFor()) && b.alone(m):
 		return "silent"
 	case !m.Heard && m.Booting && t != nil && now.Sub(m.HeldSince) > time.Duration(b.set.Own.StuckBootFactor*float64(t.BootS.Duration())):
 		return "it does not come up"
-	case !m.Heard && !m.Booting && fewSilent && (now.Sub(m.Born) > 2*silentAfter || !empty && (m.Probes >= 4 || m.Addr == "" && now.Sub(m.Born) > silentAfter)):
+	case !m.Heard && !m.Booting && b.alone(m) && (now.Sub(m.Born) > 2*silentAfter || !empty && (m.Probes >= 4 || m.Addr == "" && now.Sub(m.Born) > silentAfter)):
 		// It held tasks for an earlier owner and neither answers nor is
 		// listed: returning it proves its tasks gone.
 		return "up but never heard"
@@ -409,6 +398,64 @@
 // off sees many such machines and then returns none.
 func (b *Book) silentFor() time.Duration { return b.set.Params.Workers.ReportS.Duration() * 5 / 4 }
 
+// alone tells whether a machine's silence is its own: since it was first asked
+// in vain most others have been heard, and not many more are silent. Reports
+// come seconds apart, so that right after this node is cut off only the first
+// few machines look silent; what counts is who was heard after.
+func (b *Book) alone(m *worker.Machine) bool {
+	if !b.Storing() {
+		return false // what ran there could not be started elsewhere
+	}
+	if b.darkZones()[m.Zone] {
+		return false // its zone is cut off or down: the leases decide
+	}
+	all, since, silent := 0, 0, 0
+	for _, o := range b.roster.Machines {
+		if o.Booting || o.Deleting || o.Failed || !o.Heard && o.Probes == 0 {
+			continue
+		}
+		all++
+		switch {
+		case o.Heard && o.Probes == 0 && o.Seen.After(m.Doubted):
+			since++
+		case o.Probes > 0:
+			silent++
+		}
+	}
+	return silent <= max(1, all*2/5) && since >= (all-silent+1)/2 && since > 0
+}
+
+// darkZones lists the zones of which nothing is heard any more. Work in a zone
+// that is only cut off goes on, and a third of the fleet is not rented anew for
+// that: its machines are left until their leases have surely lapsed. Nothing is
+// rented there meanwhile.
+func (b *Book) darkZones() map[string]bool {
+	silent, heard := map[string]int{}, map[string]int{}
+	for _, m := range b.roster.Machines {
+		switch {
+		case m.Booting || m.Failed:
+		case m.Heard && m.Probes == 0:
+			heard[m.Zone]++
+		case m.Probes > 0:
+			silent[m.Zone]++
+		}
+	}
+	dark := map[string]bool{}
+	for z, n := range silent {
+		if n >= 3 && heard[z] == 0 {
+			dark[z] = true
+		}
+	}
+	return dark
+}
+
+// DarkZones is for whoever rents.
+func (b *Book) DarkZones() map[string]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.darkZones()
+}
+
 // Emptiable is a machine whose few services others might take over.
 type Emptiable struct {
 	Name  ids.Machine
--- a/internal/claim/pool.go
+++ b/internal/claim/pool.go
@@ -62,14 +62,15 @@
 
 	mu      sync.Mutex
 	term    *Term
-	resting time.Time // no campaign before
-	hints   []Hint    // of the last owner heard
+	resting time.Time                 // no campaign before
+	hints   []Hint                    // of the last owner heard
+	sent    map[ids.Machine]time.Time // when workers were last sent on to the owner
 }
 
 // NewPool makes the pool's client; incarnation tells this process from its
 // node's earlier ones.
 func NewPool(set *config.Settings, c *state.Client, cmd *worker.Commander, incarnation string) *Pool {
-	p := &Pool{Set: set, State: c, Commander: cmd, incarnation: incarnation}
+	p := &Pool{Set: set, State: c, Commander: cmd, incarnation: incarnation, sent: map[ids.Machine]time.Time{}}
 	p.mirror = state.NewMirror(c, PoolPrefix, 50*time.Millisecond)
 	p.jobs = state.NewMirror(c, JobPrefix, 250*time.Millisecond)
 	p.jobs.OnChange = func(ch state.Change) {
@@ -372,6 +373,49 @@
 	}
 }
 
+func (p *Pool) noteRedirect(m ids.Machine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.sent) > 5000 {
+		clear(p.sent)
+	}
+	p.sent[m] = time.Now()
+}
+
+// Stranded lists the workers that lately came here and were sent to the owner.
+// Whether they arrive there, the owner knows.
+func (p *Pool) Stranded() (out []ids.Machine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for m, at := range p.sent {
+		if time.Since(at) < 8*time.Second {
+			out = append(out, m)
+		} else {
+			delete(p.sent, m)
+		}
+	}
+	return out
+}
+
+// Reconsider is told by a peer which workers reach it but not this owner. If
+// those are most of the machines, this node is cut off from the workers and
+// gives the pool up, at once and for a while, to one that is not.
+func (p *Pool) Reconsider(stranded []ids.Machine) {
+	t := p.current()
+	if t == nil || len(stranded) == 0 || !t.Book.cutOff(stranded, time.Now()) {
+		return
+	}
+	p.mu.Lock()
+	p.resting = time.Now().Add(20 * time.Second)
+	p.mu.Unlock()
+	p.stepDown(t, "cut off from the workers, which reach another node")
+	ctx, cancel := context.WithTimeout(context.Background(), state.CallTimeout)
+	defer cancel()
+	if err := p.State.End(ctx, t.hold); err != nil {
+		slog.Debug("hold not ended", "err", err) // it lapses by itself
+	}
+}
+
 // Superseded is told by a peer of a higher generation; the answer confirms
 // that this node answers no beats under an older one.
 func (p *Pool) Superseded(gen ids.Generation) bool {
@@ -420,6 +464,7 @@
 	t := p.current()
 	if t == nil {
 		if node, ok := p.Owner(); ok {
+			p.noteRedirect(rep.Machine)
 			return nil, 421, worker.Redirect{AnswerTo: node}
 		}
 		return nil, 503, worker.Redirect{}
--- a/internal/claim/stories_test.go
+++ b/internal/claim/stories_test.go
@@ -390,3 +390,44 @@
 		w.until(2*time.Second, "m1 is known", func() bool { return len(second.pool.Book().Hints()) == 1 })
 	})
 }
+
+func TestAnOwnerCutOffFromTheWorkersReturnsNoneAndGivesWay(t *testing.T) {
+	story(t, func(t *testing.T, w *world) {
+		a := w.start("a")
+		b := w.start("b")
+		for _, m := range []string{"m1", "m2", "m3", "m4"} {
+			w.worker(m, "north")
+		}
+		w.until(10*time.Second, "an owner", func() bool { return a.pool.Book() != nil || b.pool.Book() != nil })
+		first, second := a, b
+		if a.pool.Book() == nil {
+			first, second = b, a
+		}
+		time.Sleep(10 * time.Second)
+		w.submit("a", spec("job-19", "standing", 4))
+		w.until(3*time.Second, "it runs", func() bool { return len(w.on("job-19/3")) == 1 })
+		w.net.SetRule(func(from, to string, r *http.Request, body []byte) fake.Fate {
+			if strings.HasPrefix(from, "m") && to == first.name+":8080" || from == first.name && strings.HasPrefix(to, "m") {
+				return fake.Swallow
+			}
+			return fake.Deliver
+		})
+		cut := time.Now()
+		w.until(18*time.Second, "the other node owns the pool", func() bool {
+			if o := first.pool.Book(); o != nil {
+				if gone := o.Returns(time.Now(), nil); len(gone) > 0 {
+					t.Fatalf("returned %v although this node alone is cut off", gone)
+				}
+				first.pool.Reconsider(second.pool.Stranded())
+			}
+			return second.pool.Book() != nil
+		})
+		t.Logf("gave way %v after the cut", time.Since(cut))
+		w.hold(40*time.Second, "the replicas go on", func() bool { return len(w.on("job-19/3")) == 1 })
+		for _, k := range w.workers {
+			if k.Started("job-19/3") > 1 {
+				t.Fatal("restarted")
+			}
+		}
+	})
+}
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -94,9 +94,10 @@
 	}
 	// Decided only now: what an open hire has rented must count, or a lost
 	// answer would rent everything twice.
+	dark := k.Book.DarkZones()
 	ds, ups, types := k.Book.Needs(time.Now())
 	hires, needed := placement.Rent(ds, ups, types, func(label, zone string, spot bool) bool {
-		return !k.refused[offer{label, zone, spot}].After(now)
+		return !dark[zone] && !k.refused[offer{label, zone, spot}].After(now)
 	})
 	k.returns(ctx, needed)
 	if len(k.open) > 0 || k.listed.IsZero() {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -43,6 +43,8 @@
 	StateOK bool
 	Owner   bool
 	Hints   []claim.Hint // from the owner only
+	// Stranded are workers that come back from being sent to the owner.
+	Stranded []ids.Machine
 }
 
 // Empty is no answer.
@@ -255,17 +257,23 @@
 	h := Hello{Node: l.set.HostName, StateOK: ok && age < 3*time.Second}
 	if b := l.pool.Book(); b != nil {
 		h.Owner, h.Hints = true, b.Hints()
+	} else {
+		h.Stranded = l.pool.Stranded()
 	}
 	return h
 }
 
 func (l *Link) note(h *Hello) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.seen[h.Node] = seen{time.Now(), h.StateOK}
+	l.mu.Unlock()
 	if h.Owner {
 		l.pool.Hear(h.Hints)
 	}
+	// Giving up to a node that is not served itself would help nobody.
+	if h.StateOK {
+		l.pool.Reconsider(h.Stranded)
+	}
 }
 
 // OthersServed tells whether some other controller has lately been served by
--- a/internal/worker/roster.go
+++ b/internal/worker/roster.go
@@ -45,6 +45,7 @@
 	Going     bool      // to be returned once empty
 	Probes    int       // questions without an answer since it fell silent
 	Probing   bool      // one is under way
+	Doubted   time.Time // when the first of those questions was asked
 	Asked     time.Time
 	Faults    int
 	Lates     []Late
