--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -110,7 +110,22 @@
 		}
 		return r
 	}
-	sort.SliceStable(js, func(x, y int) bool { return rank(js[x]) > rank(js[y]) })
+	// Among equals, what is soonest complete goes first: a job is worth nothing
+	// to its user until its last task is done. Waiting makes up for size.
+	size := func(j *Job) float64 {
+		s := &j.Rec.Spec
+		if s.Shape == Service {
+			return 0
+		}
+		age := max(0, now.Sub(j.Rec.Submitted.Time()).Seconds())
+		return float64(j.left()) * s.Need.Cores * max(1, float64(s.Estimate)) / (1 + age/20)
+	}
+	sort.SliceStable(js, func(x, y int) bool {
+		if a, z := rank(js[x]), rank(js[y]); a != z {
+			return a > z
+		}
+		return size(js[x]) < size(js[y])
+	})
 	return js
 }
 
