--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -118,7 +118,7 @@
 			return 0
 		}
 		age := max(0, now.Sub(j.Rec.Submitted.Time()).Seconds())
-		return float64(j.left()) * s.Need.Cores * max(1, float64(s.Estimate)) / (1 + age/20)
+		return float64(j.left()) * s.Need.Cores * max(1, float64(s.Estimate)) / (1 + age/max(5, min(20, b.horizon(j)/2)))
 	}
 	sort.SliceStable(js, func(x, y int) bool {
 		if a, z := rank(js[x]), rank(js[y]); a != z {
