Stories for preemption, clearing, size order, dark zones, submissions; full buckets at the start

Two failures found by the new tests: token buckets began empty, so a fresh node refused users for its first moments; a record that does not fit a value kept its places for ever.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -67,6 +67,7 @@
 	ended          bool                   // its final record is stored
 	known          time.Time
 	waiting        string // why tasks wait now
+	tooLarge       bool   // cannot be claimed: its marker would not fit
 	guaranteed     bool   // lies within its team's guarantee
 	failedOn       map[ids.Machine]bool
 }
@@ -75,7 +76,7 @@
 
 // claimable tells whether tasks of the job may be started.
 func (j *Job) claimable() bool {
-	return !j.ended && (j.Rec.Status == Queued || j.Rec.Status == Claimed) && j.left() > 0
+	return !j.ended && !j.tooLarge && (j.Rec.Status == Queued || j.Rec.Status == Claimed) && j.left() > 0
 }
 
 func (j *Job) cancelled() bool { return j.Rec.Status == Cancelling || j.Rec.Status == Cancelled }
--- /dev/null
+++ b/internal/claim/book_test.go
@@ -0,0 +1,248 @@
+package claim
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/config"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/worker"
+)
+
+func testSet() *config.Settings {
+	s := &config.Settings{Own: config.Defaults()}
+	s.Params.Workers = config.Workers{ReportS: 2, LeaseS: 20, GangWaitS: 30, GangPeerS: 5, CancelS: 40}
+	s.Params.State = config.State{RPS: 100, WriteRPS: 100, ValueKB: 8, TxnOps: 12}
+	s.Params.Teams = []config.Team{{Name: "red", CPUs: 4, CPUsMax: 40}, {Name: "blue", CPUs: 4}}
+	s.Params.Zones = []string{"north", "south"}
+	return s
+}
+
+func testBook() *Book {
+	b := NewBook(testSet(), "w", 7, time.Now())
+	b.SetTypes([]placement.Type{{Label: "small", Cores: 4, RAM: 16, CacheGB: 20, PullGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 30, Zones: []string{"north", "south"}}})
+	return b
+}
+
+func (b *Book) hear(name ids.Machine, zone string, tick ids.Tick, pieces ...worker.Piece) []worker.Order {
+	return b.Observe(&worker.Report{Machine: name, Addr: string(name) + ":1", Type: "small", Zone: zone, Session: 1, Tick: tick, Token: 7, Pieces: pieces}, true, true)
+}
+
+func rec(id ids.Job, team string, p Priority, tasks int, cores float64) *Record {
+	return NewRecord(Spec{ID: id, Class: "c", Team: team, Shape: Array, Priority: p, Tasks: tasks, Estimate: 10,
+		Need: placement.Room{Cores: cores, RAM: 1}, Image: "i", ImageGB: 1}, ids.WallOf(time.Now()), "user")
+}
+
+// store pretends that all changes were committed.
+func (b *Book) store() {
+	for _, j := range b.jobs {
+		j.saved = j.version
+	}
+	b.batches()
+}
+
+func TestTheTransitionTableHasNoWayOutOfAnEnd(t *testing.T) {
+	for _, from := range []Status{Queued, Claimed, Cancelling, Cancelled, Done} {
+		for _, to := range []Status{Queued, Claimed, Cancelling, Cancelled, Done} {
+			if from.Over() && from.May(to) {
+				t.Errorf("%s may become %s", from, to)
+			}
+		}
+	}
+	if Cancelling.May(Done) || !Claimed.May(Cancelling) || !Queued.May(Cancelled) {
+		t.Error("the table is not the one meant")
+	}
+}
+
+func TestRecordsStaySmallAndReadBack(t *testing.T) {
+	b := testBook()
+	r := rec("job-1", "red", Low, 100000, 1)
+	j := b.addJob(r, 1, time.Now())
+	for i := range 99000 {
+		if i%40 != 0 || i > 1000 {
+			j.Rec.Finished.Add(i)
+		}
+	}
+	for i := range b.openLimit() {
+		b.putPlace(&Place{Job: j, Index: i * 40, Machine: ids.Machine(fmt.Sprintf("host-%06d", i)), Session: 1, Attempt: 9, Token: 7})
+	}
+	out := j.Rec
+	out.Places = packPlaces(j.places)
+	raw, ok := out.Encode(8 * 1024)
+	if !ok {
+		t.Fatal("does not fit")
+	}
+	back, err := Decode(raw)
+	if err != nil || back.Open() != b.openLimit() || back.Finished.Len() != j.Rec.Finished.Len() {
+		t.Fatalf("%v; %d open, %d finished", err, back.Open(), back.Finished.Len())
+	}
+}
+
+func TestPreemptionFollowsPriorityAndGuarantee(t *testing.T) {
+	now := time.Now()
+	b := testBook()
+	b.hear("m1", "north", 1)
+	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 4, 1), now)
+	b.Plan(now)
+	b.store()
+	if len(b.on["m1"]) != 4 {
+		t.Fatal("not placed")
+	}
+	// Same priority, beyond its guarantee: waits.
+	b.Learn("job-2", 2, rec("job-2", "red", Normal, 5, 1), now)
+	b.Plan(now)
+	for p := range b.on["m1"] {
+		if p.stopping {
+			t.Fatal("displaced by work of the same priority")
+		}
+	}
+	// Critical work displaces what is lower, and only as much as it needs.
+	b.Learn("job-3", 3, rec("job-3", "red", Critical, 1, 2), now)
+	b.Plan(now)
+	stopped := 0
+	for p := range b.on["m1"] {
+		if p.stopping {
+			stopped++
+		}
+	}
+	if stopped != 2 {
+		t.Fatalf("%d tasks of one core stopped for one of two", stopped)
+	}
+	if j := b.jobs["job-3"]; !strings.Contains(j.waiting, "m1") {
+		t.Errorf("its waiting is explained as %q", j.waiting)
+	}
+}
+
+func TestSmallJobsGoFirstUntilLargeOnesHaveWaited(t *testing.T) {
+	now := time.Now()
+	b := testBook()
+	large, small := rec("job-1", "blue", Normal, 60, 1), rec("job-2", "blue", Normal, 5, 1)
+	large.Submitted = ids.WallOf(now.Add(-time.Second))
+	b.Learn("job-1", 1, large, now)
+	b.Learn("job-2", 2, small, now)
+	if js := b.ranked(now); js[0].Rec.Spec.ID != "job-2" {
+		t.Error("the large job goes first although both are new")
+	}
+	b.jobs["job-1"].Rec.Submitted = ids.WallOf(now.Add(-5 * time.Minute))
+	if js := b.ranked(now); js[0].Rec.Spec.ID != "job-1" {
+		t.Error("the large job never gets its turn")
+	}
+}
+
+func TestLowPriorityRisesOneStepAndNoMore(t *testing.T) {
+	now := time.Now()
+	b := testBook()
+	low, high := rec("job-1", "blue", Low, 60, 1), rec("job-2", "blue", High, 60, 1)
+	low.Submitted = ids.WallOf(now.Add(-time.Hour))
+	b.Learn("job-1", 1, low, now)
+	b.Learn("job-2", 2, high, now)
+	if js := b.ranked(now); js[0].Rec.Spec.ID != "job-2" {
+		t.Error("low work overtook high work")
+	}
+}
+
+func TestAJobsOwnMistakeDoesNotCondemnMachines(t *testing.T) {
+	now := time.Now()
+	b := testBook()
+	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 1, 1), now)
+	fail := func(m ids.Machine, a ids.Attempt, tick ids.Tick) {
+		b.hear(m, "north", tick, worker.Piece{Task: "job-1/0", Attempt: a, Status: worker.Running})
+		b.hear(m, "north", tick+1, worker.Piece{Task: "job-1/0", Attempt: a, Status: worker.Ended, Cause: worker.CauseError})
+	}
+	for i := range 6 {
+		fail(ids.Machine(fmt.Sprint("m", i)), ids.Attempt(i+1), 1)
+	}
+	for i := range 6 {
+		if m := b.roster.Machines[ids.Machine(fmt.Sprint("m", i))]; m.Draining != "" {
+			t.Errorf("%s is drained for one job that fails everywhere", m.Name)
+		}
+	}
+	if r := b.jobs["job-1"].tries[0]; r.fails != 6 || time.Until(r.at) < 30*time.Second {
+		t.Errorf("%d failures, next try in %v", r.fails, time.Until(r.at))
+	}
+	// Different jobs that fail on one machine condemn it.
+	for n := range 2 {
+		id := ids.Job(fmt.Sprint("job-10", n))
+		b.Learn(id, ids.Stamp(n+5), rec(id, "blue", Normal, 1, 1), now)
+		b.hear("bad", "north", ids.Tick(2*n+1), worker.Piece{Task: string(id) + "/0", Attempt: 1, Status: worker.Running})
+		b.hear("bad", "north", ids.Tick(2*n+2), worker.Piece{Task: string(id) + "/0", Attempt: 1, Status: worker.Ended, Cause: worker.CauseError})
+	}
+	if b.roster.Machines["bad"].Draining == "" {
+		t.Error("a machine on which different jobs fail is still used")
+	}
+}
+
+func TestOutcomesAreClearedOnlyOnceStored(t *testing.T) {
+	now := time.Now()
+	b := testBook()
+	b.hear("m1", "north", 1)
+	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 1, 1), now)
+	b.Plan(now)
+	b.store()
+	m := b.roster.Machines["m1"]
+	m.Lates = nil // its answer came
+	done := worker.Piece{Task: "job-1/0", Attempt: 1, Status: worker.Ended, Cause: worker.CauseDone}
+	if o := b.hear("m1", "north", 2, done); len(o) != 0 {
+		t.Fatalf("ordered %v before the outcome was stored", o)
+	}
+	if o := b.hear("m1", "north", 3, done); len(o) != 0 {
+		t.Fatalf("ordered %v before the outcome was stored", o)
+	}
+	b.store()
+	if o := b.hear("m1", "north", 4, done); len(o) != 1 || o[0].Verb != "clear" {
+		t.Fatalf("ordered %v", o)
+	}
+	// With a late start unaccounted for, a cleared attempt could begin anew.
+	m.Lates = []worker.Late{{Task: "job-1/0", Attempt: 1, Token: 7, Session: 1}}
+	if o := b.hear("m1", "north", 5, done); len(o) != 0 {
+		t.Fatalf("ordered %v although a late start may come", o)
+	}
+}
+
+func TestSilenceOfAWholeZoneIsLeftToTheLeases(t *testing.T) {
+	b := testBook()
+	names := []ids.Machine{"n1", "n2", "n3", "n4", "n5", "s1", "s2", "s3"}
+	for _, n := range names {
+		zone := "north"
+		if n[0] == 's' {
+			zone = "south"
+		}
+		b.hear(n, zone, 1)
+	}
+	silence := func(ns ...ids.Machine) {
+		for _, n := range ns {
+			m := b.roster.Machines[n]
+			m.Seen, m.Doubted, m.Probes = time.Now().Add(-6*time.Second), time.Now().Add(-5*time.Second), 2
+		}
+	}
+	silence("n1")
+	if gone := b.Returns(time.Now(), map[ids.Machine]bool{}); len(gone) != 1 || gone[0] != "n1" {
+		t.Fatalf("one silent machine: returned %v", gone)
+	}
+	silence("s1", "s2", "s3")
+	for _, n := range b.Returns(time.Now(), map[ids.Machine]bool{}) {
+		if n[0] == 's' {
+			t.Errorf("%s returned although all of its zone is silent", n)
+		}
+	}
+	if !b.DarkZones()["south"] || b.DarkZones()["north"] {
+		t.Errorf("dark: %v", b.DarkZones())
+	}
+}
+
+func TestTeamLimitsHoldForWhatMayBeThere(t *testing.T) {
+	now := time.Now()
+	b := testBook()
+	for i := range 20 {
+		b.hear(ids.Machine(fmt.Sprint("m", i)), "north", 1)
+	}
+	b.Learn("job-1", 1, rec("job-1", "red", Normal, 60, 1), now)
+	b.Plan(now)
+	b.Plan(now)
+	if n := len(b.jobs["job-1"].places); n != 40 {
+		t.Errorf("%d cores placed of a limit of 40", n)
+	}
+}
--- a/internal/claim/commit.go
+++ b/internal/claim/commit.go
@@ -152,7 +152,7 @@
 		}
 		raw, ok := rec.Encode(limit)
 		if !ok {
-			slog.Error("record too large to store", "job", j.Rec.Spec.ID)
+			b.unplaceable(j)
 			continue
 		}
 		id := j.Rec.Spec.ID
@@ -173,6 +173,20 @@
 	return group
 }
 
+// unplaceable gives up places whose marker does not fit into a value: without
+// one nothing of them may start, and they must not hold room for ever.
+func (b *Book) unplaceable(j *Job) {
+	slog.Error("record too large to store", "job", j.Rec.Spec.ID, "places", len(j.places))
+	for _, i := range sortedTasks(j.places) {
+		if p := j.places[i]; !p.sent {
+			b.dropPlace(p)
+		}
+	}
+	j.waiting = "its places do not fit into a record of the state service"
+	j.tooLarge = true
+	b.touch(j)
+}
+
 // stored takes in that a version is in the store.
 func (b *Book) stored(p pending, stamp ids.Stamp) {
 	j := p.job
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -253,7 +253,7 @@
 // openLimit bounds how many tasks of one job are claimed at a time, so that
 // its record always fits a value: a large array goes in batches.
 func (b *Book) openLimit() int {
-	return max(8, int((b.set.Params.State.ValueKB*1024-3000)/80))
+	return max(4, int((b.set.Params.State.ValueKB*1024*0.9-4096)/75))
 }
 
 // warmFor notes which machines hold a job's image already.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -1,9 +1,22 @@
 package intake
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/claim"
+	"github.com/pebbletrail/pebbletrail/internal/config"
+	"github.com/pebbletrail/pebbletrail/internal/fake"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
 func good() map[string]any {
@@ -47,3 +60,108 @@
 		}
 	}
 }
+
+type mute struct{}
+
+func (mute) Tell(ids.Job, ids.Stamp, *claim.Record, json.RawMessage) {}
+
+func site() (*fake.Net, *fake.Store, http.Handler) {
+	n, s := fake.NewNet(), fake.NewStore()
+	n.Listen("state:1", s)
+	set := &config.Settings{Own: config.Defaults()}
+	set.Params.State = config.State{RPS: 500, WriteRPS: 500, ValueKB: 8, TxnOps: 12}
+	set.Params.Teams = []config.Team{{Name: "red", CPUsMax: 8}}
+	d := &Desk{Set: set, State: state.NewClient("state:1", n.Client("a"), state.NewBudget(500, 500, 1, 0.6)), Teller: mute{}, Writer: "a",
+		Types: func() []placement.Type {
+			return []placement.Type{{Label: "small", Cores: 4, RAM: 16, Zones: []string{"north"}}}
+		}}
+	return n, s, (&Site{Desk: d, Ready: func() bool { return true }, Status: func() any { return nil },
+		Live: func(context.Context, ids.Job) ([]string, ids.Node, error) { return nil, "", nil }}).Handler()
+}
+
+func call(h http.Handler, method, path string, body any) *httptest.ResponseRecorder {
+	raw, _ := json.Marshal(body)
+	out := httptest.NewRecorder()
+	h.ServeHTTP(out, httptest.NewRequest(method, path, bytes.NewReader(raw)))
+	return out
+}
+
+func TestUsersGetTheStatusThatFits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, s, h := site()
+		with := func(key string, v any) map[string]any { m := good(); m["uid"] = "job-7"; m[key] = v; return m }
+		for name, c := range map[string]struct {
+			body any
+			code int
+		}{
+			"unknown team":             {with("owner", "green"), 422},
+			"too large for any type":   {with("cores", 5), 422},
+			"no type of that name":     {with("builds", []string{"huge"}), 422},
+			"a zone nobody offers":     {with("yard", "west"), 422},
+			"a gang over the limit":    {func() any { m := with("shape", "gang"); m["pieces"] = 9; return m }(), 422},
+			"an array beyond its team": {with("pieces", 90), 201},
+			"not an object":            {[]int{1}, 400},
+		} {
+			if got := call(h, "POST", "/v2/runs", c.body).Code; got != c.code {
+				t.Errorf("%s: %d, want %d", name, got, c.code)
+			}
+		}
+		if got := call(h, "GET", "/v2/runs/job-999", nil).Code; got != 404 {
+			t.Errorf("a job nobody submitted: %d", got)
+		}
+		if got := call(h, "POST", "/v2/runs/job-999/cancel", nil).Code; got != 404 {
+			t.Errorf("cancelling a job nobody submitted: %d", got)
+		}
+		// Once accepted it is never refused, even if it would be by now.
+		if got := call(h, "POST", "/v2/runs", with("cores", 50)).Code; got != 200 {
+			t.Errorf("a repeat that no longer fits: %d", got)
+		}
+		if out := call(h, "POST", "/v2/runs/job-7/cancel", nil); out.Code != 200 || !strings.Contains(out.Body.String(), "cancelled") {
+			t.Errorf("cancel: %d %s", out.Code, out.Body)
+		}
+		if out := call(h, "GET", "/v2/runs/job-7", nil); !strings.Contains(out.Body.String(), "cancelled") {
+			t.Errorf("after the cancel: %s", out.Body)
+		}
+		s.SetDown(true)
+		began := time.Now()
+		m := good()
+		m["uid"] = "job-8"
+		out := call(h, "POST", "/v2/runs", m)
+		if out.Code != 503 || out.Header().Get("Retry-After") == "" || time.Since(began) > time.Second {
+			t.Errorf("in an outage: %d, Retry-After %q, after %v", out.Code, out.Header().Get("Retry-After"), time.Since(began))
+		}
+		if out := call(h, "GET", "/v2/runs/job-7", nil); out.Code != 200 {
+			t.Errorf("a final answer in an outage: %d", out.Code)
+		}
+		if out := call(h, "GET", "/v2/runs/job-8", nil); out.Code != 503 {
+			t.Errorf("what can't be read in an outage: %d", out.Code)
+		}
+	})
+}
+
+func TestASubmissionWhoseAnswerWasLostIsReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, s, h := site()
+		n.SetRule(func(_, _ string, r *http.Request, _ []byte) fake.Fate {
+			if r.URL.Path == "/commit" {
+				return fake.LoseAnswer
+			}
+			return fake.Deliver
+		})
+		out := call(h, "POST", "/v2/runs", good())
+		if out.Code != 200 || s.Value("job/job-1") == nil {
+			t.Fatalf("%d %s", out.Code, out.Body)
+		}
+		n.SetRule(func(_, _ string, r *http.Request, _ []byte) fake.Fate {
+			if r.URL.Path == "/commit" {
+				return fake.Swallow
+			}
+			return fake.Deliver
+		})
+		m := good()
+		m["uid"] = "job-2"
+		if out := call(h, "POST", "/v2/runs", m); out.Code != 503 {
+			t.Fatalf("what may never arrive was answered %d", out.Code)
+		}
+	})
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -78,3 +78,28 @@
 		t.Fatalf("rents %+v, needed %v", hs, needed)
 	}
 }
+
+func TestDearMachinesAreNeededOnlyForWorkThatNeedsThem(t *testing.T) {
+	any := func(string, string, bool) bool { return true }
+	none := func(string, string, bool) bool { return false }
+	cheap := Demand{Ask: Ask{Need: Room{Cores: 1, RAM: 1}}, Count: 8, TurnShare: 1}
+	ups := func() []Up { return []Up{{Name: "g", Type: big, Zone: "n", Free: big.Room()}} }
+	hs, needed := Rent([]Demand{cheap}, ups(), []*Type{small, big}, any)
+	if needed["g"] || len(hs) == 0 || hs[0].Type != "small" {
+		t.Fatalf("cheap work: hires %+v, needed %v", hs, needed)
+	}
+	// While nothing plainer is to be had, what is there stays.
+	if _, needed = Rent([]Demand{cheap}, ups(), []*Type{small, big}, none); !needed["g"] {
+		t.Fatal("returned although cheap work waits and nothing else is to be had")
+	}
+	hold := Demand{Ask: Ask{Need: Room{Accels: 8}}, Count: 2, Keep: true, Hold: true}
+	if hs, needed = Rent([]Demand{hold}, ups(), []*Type{small, big}, any); len(hs) != 0 || !needed["g"] {
+		t.Fatalf("holding only: hires %+v, needed %v", hs, needed)
+	}
+	// Work that waits for a dear machine uses one that frees up in time.
+	gang := Demand{Ask: Ask{Need: Room{Accels: 8}}, Count: 1, Preempt: true, TurnShare: 1}
+	busy := []Up{{Name: "g", Type: big, Zone: "n", Turn: big.Room()}}
+	if hs, _ = Rent([]Demand{gang}, busy, []*Type{small, big}, any); len(hs) != 0 {
+		t.Fatalf("hires %+v although a turn is free in time", hs)
+	}
+}
--- a/internal/state/budget.go
+++ b/internal/state/budget.go
@@ -49,9 +49,9 @@
 	if n > 1 {
 		b.own, b.rest = ownerShare, (1-ownerShare)/float64(n-1)
 	}
-	b.calls = rate.NewLimiter(0, 0)
-	b.writes = rate.NewLimiter(0, 0)
-	b.SetOwner(false)
+	// Buckets begin full: the limits allow bursts of a second's worth.
+	b.calls = rate.NewLimiter(rate.Limit(b.rps*b.rest), max(4, int(b.rps*b.rest)))
+	b.writes = rate.NewLimiter(rate.Limit(b.wps*b.rest), max(4, int(b.wps*b.rest)))
 	return b
 }
 
