--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -246,3 +246,26 @@
 		t.Errorf("%d cores placed of a limit of 40", n)
 	}
 }
+
+func TestATeamsOwnLesserWorkMakesWayAtItsLimit(t *testing.T) {
+	now := time.Now()
+	b := testBook()
+	for i := range 20 {
+		b.hear(ids.Machine(fmt.Sprint("m", i)), "north", 1)
+	}
+	b.Learn("job-1", 1, rec("job-1", "red", Normal, 60, 1), now)
+	b.Plan(now)
+	b.store()
+	b.Learn("job-2", 2, rec("job-2", "red", Critical, 1, 2), now)
+	b.Plan(now)
+	b.Plan(now)
+	stopping := 0
+	for _, p := range b.jobs["job-1"].places {
+		if p.stopping {
+			stopping++
+		}
+	}
+	if stopping != 2 || !strings.Contains(b.jobs["job-2"].waiting, "limit") {
+		t.Errorf("%d tasks of one core stopped for one of two; it waits for %q", stopping, b.jobs["job-2"].waiting)
+	}
+}
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -202,6 +202,9 @@
 	why := ""
 	if may <= 0 {
 		why = "team " + s.Team + " is at its limit"
+		if b.yield(j, pending, now) {
+			why += "; lesser work of its own makes way"
+		}
 	}
 	b.warmFor(j, bd)
 	ask := s.Ask()
@@ -363,6 +366,9 @@
 	}
 	if b.quota(s, missing) < missing {
 		j.waiting = "team " + s.Team + " is at its limit"
+		if b.yield(j, missing, now) {
+			j.waiting += "; lesser work of its own makes way"
+		}
 		return
 	}
 	b.warmFor(j, bd)
@@ -566,6 +572,60 @@
 	return out, loss, free.Holds(ask.Need)
 }
 
+// yield stops lesser work of a job's own team when the team's limit is all
+// that keeps high or critical tasks from starting. What is being stopped
+// already counts as making way.
+func (b *Book) yield(j *Job, n int, now time.Time) bool {
+	s := &j.Rec.Spec
+	if s.Priority < High || !b.Storing() {
+		return false
+	}
+	t, _ := b.set.Team(s.Team)
+	over := b.teams[s.Team].Plus(s.Need.Times(float64(n)))
+	over.Cores -= t.CPUsMax
+	over.Accels -= t.GPUsMax
+	if t.CPUsMax == 0 {
+		over.Cores = 0
+	}
+	if t.GPUsMax == 0 {
+		over.Accels = 0
+	}
+	var victims []*Place
+	for _, o := range b.jobs {
+		if o.Rec.Spec.Team != s.Team || o.Rec.Spec.Priority >= s.Priority {
+			continue
+		}
+		for _, p := range o.places {
+			if p.stopping {
+				over = over.Minus(o.Rec.Spec.Need)
+			} else {
+				victims = append(victims, p)
+			}
+		}
+	}
+	sort.Slice(victims, func(x, y int) bool {
+		a, z := victims[x], victims[y]
+		if pa, pz := a.Job.Rec.Spec.Priority, z.Job.Rec.Spec.Priority; pa != pz {
+			return pa < pz
+		}
+		if la, lz := a.lossIfStopped(now), z.lossIfStopped(now); la != lz {
+			return la < lz
+		}
+		return a.Task().String() < z.Task().String()
+	})
+	for _, p := range victims {
+		if over.Cores <= 0 && over.Accels <= 0 {
+			break
+		}
+		need := p.Job.Rec.Spec.Need
+		if (over.Cores > 0 && need.Cores > 0) || (over.Accels > 0 && need.Accels > 0) {
+			over = over.Minus(need)
+			b.stop(p, p.leewayWanted(), fmt.Sprintf("its team is at its limit and %s (%s) goes first", s.ID, s.Priority))
+		}
+	}
+	return over.Cores <= 0 && over.Accels <= 0
+}
+
 // mayStop is the protocol's rule of preemption.
 func (b *Book) mayStop(p *Place, j *Job) bool {
 	v := p.Job
