--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -269,3 +269,30 @@
 		t.Errorf("%d tasks of one core stopped for one of two; it waits for %q", stopping, b.jobs["job-2"].waiting)
 	}
 }
+
+func TestReplicasTakeRoomWhereTheirImageIs(t *testing.T) {
+	now := time.Now()
+	b := testBook()
+	b.hear("warm", "north", 1)
+	b.hear("cold", "north", 1)
+	b.roster.Machines["warm"].Images.Use("svc", 5, 20)
+	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 4, 1), now)
+	b.roster.Machines["warm"].Images.Use("i", 1, 20) // so that the array goes there
+	b.Plan(now)
+	b.store()
+	if len(b.on["warm"]) != 4 {
+		t.Fatal("the array is elsewhere")
+	}
+	svc := rec("job-2", "blue", Critical, 1, 1)
+	svc.Spec.Shape, svc.Spec.Image, svc.Spec.ImageGB = Service, "svc", 5
+	b.Learn("job-2", 2, svc, now)
+	b.Plan(now)
+	b.Plan(now.Add(30 * time.Millisecond)) // while the stop is under way it waits
+	if len(b.jobs["job-2"].places) != 0 {
+		t.Fatal("placed where it has to fetch although its image is on a machine whose work makes way")
+	}
+	b.Plan(now.Add(3 * time.Second)) // the stop had no effect: better cold than never
+	if p := b.jobs["job-2"].places[0]; p == nil || p.Machine != "cold" {
+		t.Fatalf("placed %+v", p)
+	}
+}
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -17,6 +17,7 @@
 // freed.
 type reservation struct {
 	job   ids.Job
+	made  time.Time
 	until time.Time
 }
 
@@ -218,6 +219,14 @@
 			continue
 		}
 		at := b.pick(j, r, &ask, bd, now)
+		if at >= 0 && s.Priority == Critical && !bd.ms[at].Holds {
+			// A fetch takes longer than stopping lesser work where the image
+			// is.
+			if host := b.roomWhereHeld(j, &ask, bd, now); host != "" {
+				why = "waits for room freed on " + host
+				break
+			}
+		}
 		if at < 0 {
 			why = "no machine has room"
 			if ok, victim := b.preempt(j, &ask, bd, now); ok {
@@ -262,7 +271,8 @@
 // warmFor notes which machines hold a job's image already.
 func (b *Book) warmFor(j *Job, bd *board) {
 	for k, m := range bd.mach {
-		warm := m.Images.Has(j.Rec.Spec.Image)
+		holds := m.Images.Has(j.Rec.Spec.Image)
+		warm := holds
 		var pulling []string
 		hush := false
 		for p := range b.on[m.Name] {
@@ -274,6 +284,7 @@
 			}
 		}
 		bd.ms[k].Warm, bd.ms[k].Avoid, bd.ms[k].Pulls, bd.ms[k].Hush = warm, false, len(pulling), hush
+		bd.ms[k].Holds = holds
 	}
 }
 
@@ -465,6 +476,24 @@
 // preempt frees room for one task of j by stopping others, where the rules of
 // priority and guarantee allow it, at the least loss.
 func (b *Book) preempt(j *Job, ask *placement.Ask, bd *board, now time.Time) (bool, string) {
+	return b.preemptOn(j, ask, bd, now, func(*placement.Machine, []*Place) bool { return true })
+}
+
+// roomWhereHeld frees room on a machine that holds the image, by stopping
+// tasks that exit at once; it names the machine, also while that goes on.
+func (b *Book) roomWhereHeld(j *Job, ask *placement.Ask, bd *board, now time.Time) string {
+	for name, r := range b.reserved {
+		if r.job == j.Rec.Spec.ID && now.Sub(r.made) < time.Second {
+			return string(name)
+		}
+	}
+	_, host := b.preemptOn(j, ask, bd, now, func(m *placement.Machine, victims []*Place) bool {
+		return m.Holds && len(victims) > 0 && !slices.ContainsFunc(victims, func(v *Place) bool { return v.leewayWanted() > 0 })
+	})
+	return host
+}
+
+func (b *Book) preemptOn(j *Job, ask *placement.Ask, bd *board, now time.Time, may func(*placement.Machine, []*Place) bool) (bool, string) {
 	if j.Rec.Spec.Priority < High && !j.guaranteed || !b.Storing() {
 		return false, ""
 	}
@@ -489,6 +518,9 @@
 			continue
 		}
 		victims, loss, ok := b.victims(j, m, ask, now)
+		if !may(m, victims) {
+			continue
+		}
 		if ok && ask.Long && m.Type.Accels > ask.Need.Accels {
 			loss += 1e6 // see pick
 		}
@@ -511,7 +543,7 @@
 		b.stop(v, v.leewayWanted(), fmt.Sprintf("to make room for %s (%s)", j.Rec.Spec.ID, j.Rec.Spec.Priority))
 		grace = max(grace, v.leeway)
 	}
-	b.reserved[name] = reservation{j.Rec.Spec.ID, now.Add((grace + 10).Duration())}
+	b.reserved[name] = reservation{j.Rec.Spec.ID, now, now.Add((grace + 10).Duration())}
 	return true, string(name)
 }
 
@@ -711,14 +743,14 @@
 		best := -1
 		for k := range bd.ms {
 			t := &bd.ms[k]
-			if t.Name != m.Name && t.Zone == m.Zone && t.Warm && !t.Going && t.Type.Accels == 0 && t.Free.Holds(ask.Need) && ask.Allows(t.Type.Label, t.Zone, t.Spot) &&
+			if t.Name != m.Name && t.Zone == m.Zone && t.Holds && !t.Going && t.Type.Accels == 0 && t.Free.Holds(ask.Need) && ask.Allows(t.Type.Label, t.Zone, t.Spot) &&
 				(best < 0 || placement.Score(t, &ask) < placement.Score(&bd.ms[best], &ask)) {
 				best = k
 			}
 		}
 		if best >= 0 {
 			b.moved = now
-			b.reserved[bd.ms[best].Name] = reservation{p.Job.Rec.Spec.ID, now.Add(5 * time.Second)}
+			b.reserved[bd.ms[best].Name] = reservation{p.Job.Rec.Spec.ID, now, now.Add(5 * time.Second)}
 			b.stop(p, p.leewayWanted(), "moved off "+string(m.Name)+", which is to be returned")
 			return
 		}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -90,20 +90,21 @@
 	synctest.Test(t, func(t *testing.T) {
 		_, s, h := site()
 		with := func(key string, v any) map[string]any { m := good(); m["uid"] = "job-7"; m[key] = v; return m }
-		for name, c := range map[string]struct {
+		for _, c := range []struct {
+			name string
 			body any
 			code int
 		}{
-			"unknown team":             {with("owner", "green"), 422},
-			"too large for any type":   {with("cores", 5), 422},
-			"no type of that name":     {with("builds", []string{"huge"}), 422},
-			"a zone nobody offers":     {with("yard", "west"), 422},
-			"a gang over the limit":    {func() any { m := with("shape", "gang"); m["pieces"] = 9; return m }(), 422},
-			"an array beyond its team": {with("pieces", 90), 201},
-			"not an object":            {[]int{1}, 400},
+			{"unknown team", with("owner", "green"), 422},
+			{"too large for any type", with("cores", 5), 422},
+			{"no type of that name", with("builds", []string{"huge"}), 422},
+			{"a zone nobody offers", with("yard", "west"), 422},
+			{"a gang over the limit", func() any { m := with("shape", "gang"); m["pieces"] = 9; return m }(), 422},
+			{"an array beyond its team", with("pieces", 90), 201},
+			{"not an object", []int{1}, 400},
 		} {
 			if got := call(h, "POST", "/v2/runs", c.body).Code; got != c.code {
-				t.Errorf("%s: %d, want %d", name, got, c.code)
+				t.Errorf("%s: %d, want %d", c.name, got, c.code)
 			}
 		}
 		if got := call(h, "GET", "/v2/runs/job-999", nil).Code; got != 404 {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -95,6 +95,7 @@
 	Spot  bool
 	Free  Room
 	Warm  bool // holds the image asked for, or fetches it already
+	Holds bool // holds it for sure, so that a task starts at once
 	Pulls int  // other images it is fetching, which share its rate
 	Hush  bool // fetches for work of higher priority, not to be slowed
 	Avoid bool // failed this very task before
