--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -126,6 +126,17 @@
 	return max(10, min(60, (due-float64(s.Estimate))/4))
 }
 
+// fetch is how long a task's image takes where it fits best.
+func (b *Book) fetch(s *Spec) float64 {
+	best := 0.0
+	for _, t := range b.types {
+		if t.Room().Holds(s.Need) && (best == 0 || s.ImageGB/max(t.PullGBPerS, 0.01) < best) {
+			best = s.ImageGB / max(t.PullGBPerS, 0.01)
+		}
+	}
+	return best
+}
+
 // fresh is how long a new machine for such tasks takes to be up with the image.
 func (b *Book) fresh(s *Spec) float64 {
 	best := math.Inf(1)
@@ -150,7 +161,11 @@
 	turn = 1
 	slots = float64(n)
 	if s.Estimate > 0 && (s.Shape == Array || s.Shape == Gang && s.Tasks == 1) {
-		share := min(1, float64(s.Estimate)/b.horizon(j))
+		takes := float64(s.Estimate)
+		if s.Shape == Gang {
+			takes += b.fetch(s) / 2 // about every second one has to fetch
+		}
+		share := min(1, takes/b.horizon(j))
 		slots *= share
 		turn = min(1, b.horizon(j)/float64(s.Estimate))
 	}
