Room freed for a job is held by amount and released once the job has its places

Cause (replay of inc-69e1, simulated): eight services reserved eight whole machines for ten seconds and were placed on three. Ruled out: late reports, team limits.

--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -296,3 +296,45 @@
 		t.Fatalf("placed %+v", p)
 	}
 }
+
+func TestRoomFreedForOneJobIsNotLostToOthers(t *testing.T) {
+	now := time.Now()
+	b := testBook()
+	for _, m := range []ids.Machine{"m1", "m2", "m3"} {
+		b.hear(m, "north", 1)
+	}
+	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 3, 4), now)
+	b.Plan(now)
+	b.store()
+	for m := range b.roster.Machines {
+		for p := range b.on[m] {
+			p.seen = true
+		}
+	}
+	for i := range 3 {
+		id := ids.Job(fmt.Sprint("job-2", i))
+		b.Learn(id, ids.Stamp(i+2), rec(id, "blue", Critical, 1, 1), now)
+	}
+	b.Plan(now) // each displaces a task of four cores for one core
+	for m := range b.roster.Machines {
+		for p := range b.on[m] {
+			if p.stopping {
+				b.dropPlace(p)
+			}
+		}
+	}
+	for i := range 9 {
+		id := ids.Job(fmt.Sprint("job-3", i))
+		b.Learn(id, ids.Stamp(i+9), rec(id, "blue", Critical, 1, 1), now)
+	}
+	b.Plan(now.Add(50 * time.Millisecond))
+	n := 0
+	for id, j := range b.jobs {
+		if id != "job-1" {
+			n += len(j.places)
+		}
+	}
+	if n != 12 {
+		t.Errorf("%d of 12 critical tasks placed on twelve free cores", n)
+	}
+}
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -17,6 +17,7 @@
 // freed.
 type reservation struct {
 	job   ids.Job
+	need  placement.Room // others may use what is beyond it
 	made  time.Time
 	until time.Time
 }
@@ -247,6 +248,7 @@
 	j.waiting = why
 	if placed == pending {
 		j.waiting = ""
+		b.release(j)
 	}
 }
 
@@ -295,8 +297,7 @@
 		}
 	}
 	for k := range bd.ms {
-		res, ok := b.reserved[bd.ms[k].Name]
-		bd.ms[k].Held = ok && res.job != j.Rec.Spec.ID && res.until.After(now) && b.outranks(res.job, j)
+		bd.ms[k].Held = b.heldFor(&bd.ms[k], j, now)
 	}
 	if ask.Long && ask.Need.Accels == 0 {
 		// A service would hold a machine with accelerators for good: it goes
@@ -332,6 +333,23 @@
 	return false
 }
 
+// heldFor tells whether what is free on a machine was freed for another job
+// that goes first.
+func (b *Book) heldFor(m *placement.Machine, j *Job, now time.Time) bool {
+	r, ok := b.reserved[m.Name]
+	return ok && r.job != j.Rec.Spec.ID && r.until.After(now) && b.outranks(r.job, j) && !m.Free.Minus(r.need).Holds(j.Rec.Spec.Need)
+}
+
+// release gives up what was freed for a job that found its places: it may have
+// found them elsewhere.
+func (b *Book) release(j *Job) {
+	for name, r := range b.reserved {
+		if r.job == j.Rec.Spec.ID {
+			delete(b.reserved, name)
+		}
+	}
+}
+
 // outranks tells whether a reservation's job still goes before j.
 func (b *Book) outranks(id ids.Job, j *Job) bool {
 	h := b.jobs[id]
@@ -422,6 +440,7 @@
 	}
 	b.placed(j, len(picks))
 	j.waiting = ""
+	b.release(j)
 }
 
 // tryGang looks for machines for all missing tasks; it changes the board's
@@ -443,8 +462,7 @@
 		}
 		r := j.tries[i]
 		for k := range bd.ms {
-			res, ok := b.reserved[bd.ms[k].Name]
-			bd.ms[k].Held = ok && res.job != s.ID && res.until.After(now) && b.outranks(res.job, j)
+			bd.ms[k].Held = b.heldFor(&bd.ms[k], j, now)
 			bd.ms[k].Avoid = r != nil && r.avoid[bd.ms[k].Name]
 		}
 		at := placement.Pick(b.rng, bd.ms, ask, zr, int(b.set.Own.SampleMachines))
@@ -483,9 +501,14 @@
 // tasks that exit at once; it names the machine, also while that goes on.
 func (b *Book) roomWhereHeld(j *Job, ask *placement.Ask, bd *board, now time.Time) string {
 	for name, r := range b.reserved {
-		if r.job == j.Rec.Spec.ID && now.Sub(r.made) < time.Second {
-			return string(name)
+		if r.job != j.Rec.Spec.ID || now.Sub(r.made) >= time.Second {
+			continue
+		}
+		at, there := bd.by[name]
+		if there && bd.ms[at].Holds && !bd.ms[at].Free.Holds(ask.Need) {
+			return string(name) // not free yet
 		}
+		return ""
 	}
 	_, host := b.preemptOn(j, ask, bd, now, func(m *placement.Machine, victims []*Place) bool {
 		return m.Holds && len(victims) > 0 && !slices.ContainsFunc(victims, func(v *Place) bool { return v.leewayWanted() > 0 })
@@ -543,7 +566,7 @@
 		b.stop(v, v.leewayWanted(), fmt.Sprintf("to make room for %s (%s)", j.Rec.Spec.ID, j.Rec.Spec.Priority))
 		grace = max(grace, v.leeway)
 	}
-	b.reserved[name] = reservation{j.Rec.Spec.ID, now, now.Add((grace + 10).Duration())}
+	b.reserved[name] = reservation{j.Rec.Spec.ID, ask.Need, now, now.Add((grace + 10).Duration())}
 	return true, string(name)
 }
 
@@ -750,7 +773,7 @@
 		}
 		if best >= 0 {
 			b.moved = now
-			b.reserved[bd.ms[best].Name] = reservation{p.Job.Rec.Spec.ID, now, now.Add(5 * time.Second)}
+			b.reserved[bd.ms[best].Name] = reservation{p.Job.Rec.Spec.ID, ask.Need, now, now.Add(5 * time.Second)}
 			b.stop(p, p.leewayWanted(), "moved off "+string(m.Name)+", which is to be returned")
 			return
 		}
