--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -338,3 +338,15 @@
 		t.Errorf("%d of 12 critical tasks placed on twelve free cores", n)
 	}
 }
+
+func TestCriticalWorkWaitsForASaveOnlyIfMuchWouldBeLost(t *testing.T) {
+	now := time.Now()
+	j := &Job{Rec: *rec("job-1", "blue", Low, 1, 4)}
+	j.Rec.Spec.Checkpoint, j.Rec.Spec.Save = 60, 5
+	for ran, want := range map[time.Duration]bool{2 * time.Second: true, 40 * time.Second: false, 65 * time.Second: true} {
+		p := &Place{Job: j, ranSince: now.Add(-ran)}
+		if p.littleToSave(now) != want {
+			t.Errorf("after %v of running: %v", ran, !want)
+		}
+	}
+}
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -563,7 +564,11 @@
 	name := bd.ms[best].Name
 	grace := ids.Seconds(0)
 	for _, v := range bestVictims {
-		b.stop(v, v.leewayWanted(), fmt.Sprintf("to make room for %s (%s)", j.Rec.Spec.ID, j.Rec.Spec.Priority))
+		lee := v.leewayWanted()
+		if j.Rec.Spec.Priority == Critical && v.littleToSave(now) {
+			lee = 0
+		}
+		b.stop(v, lee, fmt.Sprintf("to make room for %s (%s)", j.Rec.Spec.ID, j.Rec.Spec.Priority))
 		grace = max(grace, v.leeway)
 	}
 	b.reserved[name] = reservation{j.Rec.Spec.ID, ask.Need, now, now.Add((grace + 10).Duration())}
@@ -579,6 +584,20 @@
 	return s.Save*1.2 + 1
 }
 
+// littleToSave tells whether what a task did since it last saved by itself is
+// worth less than making critical work wait for a save.
+func (p *Place) littleToSave(now time.Time) bool {
+	s := &p.Job.Rec.Spec
+	if s.Shape != Array || s.Checkpoint <= 0 {
+		return false
+	}
+	if p.ranSince.IsZero() {
+		return true
+	}
+	since := math.Mod(now.Sub(p.ranSince).Seconds(), float64(s.Checkpoint))
+	return since <= 3*float64(s.Save)
+}
+
 // victims picks whom to stop on a machine so that the ask fits.
 func (b *Book) victims(j *Job, m *placement.Machine, ask *placement.Ask, now time.Time) ([]*Place, float64, bool) {
 	type cand struct {
@@ -619,7 +638,7 @@
 		}
 		out = append(out, c.p)
 		loss += c.loss
-		if lee := c.p.leewayWanted(); hurry && lee > 0 {
+		if lee := c.p.leewayWanted(); hurry && lee > 0 && !c.p.littleToSave(now) {
 			loss += 100 * float64(lee)
 		}
 		free = free.Plus(c.p.Job.Rec.Spec.Need)
