--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -75,13 +75,7 @@
 	}
 	sort.Slice(types, func(x, y int) bool { return types[x].Label < types[y].Label })
 	ds = append(b.demands(now), b.keeps()...)
-	names := make([]string, 0, len(b.roster.Machines))
-	for n := range b.roster.Machines {
-		names = append(names, string(n))
-	}
-	sort.Strings(names)
-	for _, n := range names {
-		m := b.roster.Machines[ids.Machine(n)]
+	for _, m := range b.roster.Sorted() {
 		t := b.types[m.Type]
 		if t == nil || m.Failed || m.Deleting || m.Draining != "" || !m.TakenAt.IsZero() {
 			continue
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -48,13 +48,7 @@
 
 func (b *Book) lookAround(now time.Time) *board {
 	bd := &board{by: map[ids.Machine]int{}}
-	names := make([]string, 0, len(b.roster.Machines))
-	for n := range b.roster.Machines {
-		names = append(names, string(n))
-	}
-	sort.Strings(names)
-	for _, n := range names {
-		m := b.roster.Machines[ids.Machine(n)]
+	for _, m := range b.roster.Sorted() {
 		t := b.types[m.Type]
 		if t == nil || !m.Usable(now, b.set.Params.Workers.ReportS) {
 			continue
--- a/internal/worker/roster.go
+++ b/internal/worker/roster.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"sort"
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
@@ -75,6 +76,17 @@
 	return m
 }
 
+// Sorted lists the machines by name, so that decisions do not hang on the order
+// of a map.
+func (r *Roster) Sorted() []*Machine {
+	out := make([]*Machine, 0, len(r.Machines))
+	for _, m := range r.Machines {
+		out = append(out, m)
+	}
+	sort.Slice(out, func(x, y int) bool { return out[x].Name < out[y].Name })
+	return out
+}
+
 // Verdict is what a report means beside its list of tasks.
 type Verdict struct {
 	Fresh bool // newer than all before; only then its list counts
