--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -88,7 +88,12 @@
 	if needed["g"] || len(hs) == 0 || hs[0].Type != "small" {
 		t.Fatalf("cheap work: hires %+v, needed %v", hs, needed)
 	}
-	// While nothing plainer is to be had, what is there stays.
+	// While nothing plainer is to be had, what is there stays, if it has much to
+	// do.
+	if _, needed = Rent([]Demand{cheap}, ups(), []*Type{small, big}, none); needed["g"] {
+		t.Fatal("64 cores kept for 8 tasks of one")
+	}
+	cheap.Count = 40
 	if _, needed = Rent([]Demand{cheap}, ups(), []*Type{small, big}, none); !needed["g"] {
 		t.Fatal("returned although cheap work waits and nothing else is to be had")
 	}
--- a/internal/placement/rent.go
+++ b/internal/placement/rent.go
@@ -121,6 +121,9 @@
 					continue
 				}
 				n := u.Free.Plus(u.Turn).Count(d.Ask.Need, left)
+				if !anyhow && 2*n < u.Type.Room().Count(d.Ask.Need, 1<<20) {
+					continue // not worth it for a few tasks
+				}
 				left -= n
 				u.Free = u.Free.Minus(d.Ask.Need.Times(float64(n)))
 				needed[u.Name] = needed[u.Name] || n > 0
