Replicas are not swapped for an image

Cause (logs of tfx steady, simulated): taking room where the image is held also stopped replicas of teams beyond their guarantee, each of which then fetched elsewhere. Test: TestReplicasAreNotSwappedForAnImage.

--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -350,3 +350,30 @@
 		}
 	}
 }
+
+func TestReplicasAreNotSwappedForAnImage(t *testing.T) {
+	now := time.Now()
+	b := testBook()
+	b.hear("warm", "north", 1)
+	b.hear("cold", "north", 1)
+	b.roster.Machines["warm"].Images.Use("svc", 5, 20)
+	svc := func(id ids.Job, team string, tasks int) *Record {
+		r := rec(id, team, Critical, tasks, 1)
+		r.Spec.Shape, r.Spec.Image, r.Spec.ImageGB = Service, "svc", 5
+		return r
+	}
+	// red runs more than its guarantee of four cores, blue nothing yet.
+	b.Learn("job-1", 1, svc("job-1", "red", 5), now)
+	b.Plan(now)
+	b.store()
+	b.Learn("job-2", 2, svc("job-2", "blue", 1), now)
+	b.Plan(now)
+	for _, p := range b.jobs["job-1"].places {
+		if p.stopping {
+			t.Fatalf("replica on %s stopped although another machine has room", p.Machine)
+		}
+	}
+	if len(b.jobs["job-2"].places) != 1 {
+		t.Fatal("the other team's replica was not placed")
+	}
+}
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -506,7 +506,11 @@
 		return ""
 	}
 	_, host := b.preemptOn(j, ask, bd, now, func(m *placement.Machine, victims []*Place) bool {
-		return m.Holds && len(victims) > 0 && !slices.ContainsFunc(victims, func(v *Place) bool { return v.leewayWanted() > 0 })
+		// Only lesser work: to swap one replica for another, as a guarantee
+		// would allow, gains nothing here and costs the other its start.
+		return m.Holds && len(victims) > 0 && !slices.ContainsFunc(victims, func(v *Place) bool {
+			return v.leewayWanted() > 0 || v.Job.Rec.Spec.Shape == Service || v.Job.Rec.Spec.Priority >= j.Rec.Spec.Priority
+		})
 	})
 	return host
 }
