--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -55,7 +56,12 @@
 			w.now += n
 		}
 	}
-	for _, w := range b.warm {
+	for class, w := range b.warm {
+		// Users name the classes: one not seen for a window is forgotten.
+		if w.now == 0 && w.busy == 0 && len(w.ran) == warmWindow && !slices.ContainsFunc(w.ran, func(n int) bool { return n > 0 }) {
+			delete(b.warm, class)
+			continue
+		}
 		if w.want = append(w.want, w.now); len(w.want) > warmWindow {
 			w.want = w.want[1:]
 		}
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -313,6 +313,9 @@
 		b.vanish(p, why)
 	}
 	delete(b.roster.Machines, name)
+	if len(b.returned) > 20000 {
+		clear(b.returned) // late news of machines that old is not expected
+	}
 	b.returned[name] = true
 	delete(b.reserved, name)
 	poke(b.wakePlan)
