--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,8 +1,11 @@
 package config
 
 import (
+	"os"
 	"strings"
 	"testing"
+
+	"google.golang.org/protobuf/proto"
 )
 
 const fine = `
@@ -75,3 +78,13 @@
 		}
 	}
 }
+
+func TestTheDocumentedExampleIsTheDefaults(t *testing.T) {
+	raw, err := os.ReadFile("../../docs/operators.textproto")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o, err := ParseOwn(raw); err != nil || !proto.Equal(o, Defaults()) {
+		t.Errorf("%v: %v", err, o)
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -95,6 +95,8 @@
 	set   *config.Settings
 	pool  *claim.Pool
 	state *state.Client
+	// Dial connects to another node.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
 	mu    sync.Mutex
 	conns map[ids.Node]*rpc.Client
@@ -108,7 +110,11 @@
 
 // NewLink makes the link; it serves once Serve is called.
 func NewLink(set *config.Settings, pool *claim.Pool, st *state.Client) *Link {
-	return &Link{set: set, pool: pool, state: st, conns: map[ids.Node]*rpc.Client{}, seen: map[ids.Node]seen{}}
+	dial := func(ctx context.Context, addr string) (net.Conn, error) {
+		d := net.Dialer{Timeout: callTimeout}
+		return d.DialContext(ctx, "tcp", addr)
+	}
+	return &Link{set: set, pool: pool, state: st, Dial: dial, conns: map[ids.Node]*rpc.Client{}, seen: map[ids.Node]seen{}}
 }
 
 // Serve answers the others on l until it closes.
@@ -121,6 +127,9 @@
 	slots := make(chan struct{}, 16*max(1, len(l.set.Others)))
 	for {
 		c, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
 		if err != nil {
 			slog.Error("peer listener", "err", err)
 			time.Sleep(100 * time.Millisecond)
@@ -171,8 +180,7 @@
 		if addr == "" {
 			return errors.New("unknown node " + string(to))
 		}
-		d := net.Dialer{Timeout: callTimeout}
-		conn, err := d.DialContext(ctx, "tcp", addr)
+		conn, err := l.Dial(ctx, addr)
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,89 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/claim"
+	"github.com/pebbletrail/pebbletrail/internal/config"
+	"github.com/pebbletrail/pebbletrail/internal/fake"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/state"
+	"github.com/pebbletrail/pebbletrail/internal/worker"
+)
+
+// node is a controller without its users' side.
+func node(ctx context.Context, name ids.Node, other ids.Node, n *fake.Net, p *fake.Pipes) (*claim.Pool, *Link) {
+	set := &config.Settings{HostName: name, Own: config.Defaults(), Others: []config.Other{{HostName: other, PeerAddr: string(other)}}}
+	set.Params.Workers = config.Workers{ReportS: 2, LeaseS: 20, GangWaitS: 30, GangPeerS: 5, CancelS: 40}
+	set.Params.State = config.State{RPS: 500, WriteRPS: 200, ValueKB: 8, TxnOps: 12}
+	set.Params.Teams = []config.Team{{Name: "red"}}
+	set.Params.Limits.MaxSockets = 100
+	st := state.NewClient("state:1", n.Client(string(name)), state.NewBudget(500, 200, 2, 0.6))
+	pool := claim.NewPool(set, st, &worker.Commander{HTTP: n.Client(string(name)), Timeout: time.Second}, string(name)+".1")
+	l := NewLink(set, pool, st)
+	l.Dial = p.Dial
+	pool.Peers = l
+	go l.Serve(p.Listen(string(name)))
+	l.Run(ctx)
+	go pool.Run(ctx)
+	go func() {
+		for ctx.Err() == nil {
+			st.Get(ctx, claim.GenerationKey, state.Urgent)
+			time.Sleep(500 * time.Millisecond)
+		}
+	}()
+	return pool, l
+}
+
+func TestNodesTellOneAnotherWhatSavesTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		n, s, p := fake.NewNet(), fake.NewStore(), fake.NewPipes()
+		n.Listen("state:1", s)
+		a, la := node(ctx, "a", "b", n, p)
+		time.Sleep(2 * time.Second)
+		if a.Book() == nil {
+			t.Fatal("a does not own the pool")
+		}
+		if la.AllStopped(ctx, 1) {
+			t.Error("a node that does not answer confirmed that it stopped")
+		}
+		b, lb := node(ctx, "b", "a", n, p)
+		time.Sleep(3 * time.Second)
+		if !la.AllStopped(ctx, 1) {
+			t.Error("a node that never owned the pool does not confirm")
+		}
+		if lb.AllStopped(ctx, 1) {
+			t.Error("the owner confirmed that it stopped")
+		}
+		if !la.OthersServed() || !lb.OthersServed() {
+			t.Error("the nodes do not know that the other is served")
+		}
+		// What b accepts, a learns at once, and b can explain it by asking a.
+		rec := claim.NewRecord(claim.Spec{ID: "job-1", Team: "red", Shape: claim.Array, Tasks: 1, Need: placement.Room{Cores: 1}}, 1, "b")
+		raw, _ := json.Marshal(rec)
+		a.Book().SetTypes([]placement.Type{{Label: "small", Cores: 4, RAM: 16, Zones: []string{"north"}}})
+		lb.Tell("job-1", 9, rec, raw)
+		time.Sleep(time.Second)
+		lines, owner, err := lb.Explain(ctx, "job-1")
+		if err != nil || owner != "a" || !strings.Contains(strings.Join(lines, " "), "no machine has room") {
+			t.Errorf("explained by %s as %q: %v", owner, lines, err)
+		}
+		// A higher generation makes the owner step down.
+		if !a.Superseded(99) || a.Book() != nil {
+			t.Error("the owner stays although a peer is ahead")
+		}
+		if b.Book() != nil {
+			t.Error("b owns the pool beside a's hold")
+		}
+		cancel()
+		p.Close()
+		time.Sleep(time.Minute) // idle connections are given up
+	})
+}
