--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"sort"
 	"sync"
@@ -105,6 +106,7 @@
 	warm         map[string]*warmth
 	lost         bool
 	sampled      time.Time
+	spent        spent
 	moved        time.Time
 	emptying     ids.Machine // its services are being moved elsewhere
 	emptyingAt   time.Time
@@ -477,7 +479,9 @@
 		}
 	}
 	return map[string]any{"generation": b.gen, "jobs": len(b.jobs), "placed": places, "machines": len(b.roster.Machines),
-		"heard": heard, "draining": draining, "waiting": waiting}
+		"heard": heard, "draining": draining, "waiting": waiting,
+		"spent": map[string]any{"boot": cents(b.spent.boot), "idle": cents(b.spent.idle), "free": cents(b.spent.free), "fetch": cents(b.spent.fetch),
+			"wait": cents(b.spent.wait), "run": cents(b.spent.run), "againCoreSeconds": maps.Clone(b.spent.again)}}
 }
 
 // cutOff tells whether this node has lost most machines while others reach
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -35,6 +35,7 @@
 		return
 	}
 	b.sampled = now
+	b.account(now)
 	for _, w := range b.warm {
 		w.now, w.busy = 0, 0
 	}
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -167,8 +167,16 @@
 			}
 		}
 	case worker.CauseStopped:
+		if !pc.Saved && !j.cancelled() {
+			cause := "stopped for others"
+			if !m.TakenAt.IsZero() {
+				cause = "spot"
+			}
+			b.redo(p, cause, now)
+		}
 		b.note(j, "task %d stopped on %s: %s%s", i, m.Name, p.reason(), savedText(pc.Saved))
 	case worker.CausePeers:
+		b.redo(p, "gang lost a task", now)
 		b.note(j, "task %d ended on %s: another task of the gang was gone", i, m.Name)
 	case worker.CauseIncomplete:
 		b.note(j, "task %d ended on %s: the gang was not complete in time", i, m.Name)
@@ -236,6 +244,9 @@
 		return
 	}
 	b.note(j, "task %d gone: %s", p.Index, why)
+	if !j.cancelled() {
+		b.redo(p, "machine lost", time.Now())
+	}
 	b.touch(j)
 	b.finishIfOver(j)
 }
--- a/internal/worker/commander.go
+++ b/internal/worker/commander.go
@@ -37,6 +37,9 @@
 func (c *Commander) Send(ctx context.Context, addr string, token ids.Generation, s ids.Session, orders []Order) (Outcome, *Report) {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
+	if orders == nil {
+		orders = []Order{} // a list, if an empty one, whoever reads it
+	}
 	raw, err := json.Marshal(Reply{Token: token, Session: s, Orders: orders})
 	if err != nil {
 		return NotSent, nil
