--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -27,7 +27,7 @@
 	busy     int
 }
 
-const warmWindow = 180
+const warmWindow = 120
 
 // sample notes once a second how much each class wants.
 func (b *Book) sample(now time.Time) {
