--- a/internal/claim/dispatch.go
+++ b/internal/claim/dispatch.go
@@ -112,7 +112,7 @@
 		case <-ctx.Done():
 			return
 		case <-d.wake:
-		case <-time.After(500 * time.Millisecond):
+		case <-time.After(200 * time.Millisecond):
 		}
 		d.probe(ctx)
 		for _, ba := range d.Book.batches() {
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -412,7 +412,7 @@
 // silentFor is how long a machine that leaves questions unanswered is given.
 // Its replicas are down meanwhile, so it is short; a node that is itself cut
 // off sees many such machines and then returns none.
-func (b *Book) silentFor() time.Duration { return b.set.Params.Workers.ReportS.Duration() * 5 / 4 }
+func (b *Book) silentFor() time.Duration { return b.set.Params.Workers.ReportS.Duration() }
 
 // alone tells whether a machine's silence is its own: since it was first asked
 // in vain most others have been heard, and not many more are silent. Reports
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -60,7 +60,7 @@
 		k.Step(ctx)
 		select {
 		case <-ctx.Done():
-		case <-time.After(500 * time.Millisecond):
+		case <-time.After(250 * time.Millisecond):
 		}
 	}
 }
