--- a/cmd/pebbletrail/serve.go
+++ b/cmd/pebbletrail/serve.go
@@ -19,6 +19,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/fleet"
 	"github.com/pebbletrail/pebbletrail/internal/intake"
+	"github.com/pebbletrail/pebbletrail/internal/measure"
 	"github.com/pebbletrail/pebbletrail/internal/peer"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
 	"github.com/pebbletrail/pebbletrail/internal/state"
@@ -77,7 +78,7 @@
 	st := state.NewClient(set.Services.State, client(16, 16),
 		state.NewBudget(set.Params.State.RPS, set.Params.State.WriteRPS, nodes, set.Own.OwnerShare))
 	cloud := fleet.NewCloud(set.Services.Cloud, client(4, 4), set.Params.Cloud.RPS)
-	commander := &worker.Commander{HTTP: client(2, max(8, lim.MaxSockets/8)), Timeout: 3 * time.Second}
+	commander := &worker.Commander{HTTP: client(2, max(8, lim.MaxSockets/3)), Timeout: 3 * time.Second}
 	pool := claim.NewPool(set, st, commander, incarnation)
 	link := peer.NewLink(set, pool, st)
 	pool.Peers = link
@@ -93,7 +94,7 @@
 		k.Run(ctx)
 	}
 	site := &intake.Site{
-		Desk:  &intake.Desk{Set: set, State: st, Teller: link, Writer: incarnation, Types: offer.known},
+		Desk:  &intake.Desk{Set: set, State: st, Jobs: pool.Jobs(), Teller: link, Writer: incarnation, Types: offer.known},
 		Beats: pool,
 		Ready: func() bool {
 			age, ok := st.SinceGood()
@@ -108,6 +109,7 @@
 		Status: func() any {
 			owner, _ := pool.Owner()
 			out := map[string]any{"node": set.HostName, "version": version, "incarnation": incarnation, "owner": owner}
+			out["took"], out["counts"] = measure.Process.Summary()
 			if b := pool.Book(); b != nil {
 				out["pool"] = b.Summary()
 			}
@@ -118,6 +120,12 @@
 	link.Run(ctx)
 	go offer.run(ctx)
 	go probe(ctx, st)
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(time.Minute)
+			measure.Process.Log()
+		}
+	}()
 	go pool.Run(ctx)
 	return site.Serve(users, max(16, lim.MaxSockets/2))
 }
--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -1,6 +1,8 @@
 package claim
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -25,6 +27,7 @@
 	Attempt ids.Attempt
 	Token   ids.Generation // generation its start goes out under
 
+	awaiting  bool   // counted among those that wait for an image
 	version   uint64 // the job's version that first holds it
 	sent      bool   // a start may have gone out
 	beatOffer ids.Tick
@@ -68,8 +71,11 @@
 	ended          bool                   // its final record is stored
 	known          time.Time
 	waiting        string // why tasks wait now
-	tooLarge       bool   // cannot be claimed: its marker would not fit
-	guaranteed     bool   // lies within its team's guarantee
+	most           int    // tasks claimed at a time, once a marker did not fit; 0: no such bound
+	odd            bool   // a finished task may still have a place
+	dirtySince     time.Time
+	urgent         bool // what changed must be stored before anything can go on
+	guaranteed     bool // lies within its team's guarantee
 	failedOn       map[ids.Machine]bool
 }
 
@@ -77,7 +83,20 @@
 
 // claimable tells whether tasks of the job may be started.
 func (j *Job) claimable() bool {
-	return !j.ended && !j.tooLarge && (j.Rec.Status == Queued || j.Rec.Status == Claimed) && j.left() > 0
+	return !j.ended && (j.Rec.Status == Queued || j.Rec.Status == Claimed) && j.left() > 0
+}
+
+// pending counts the tasks that have no place yet.
+func (j *Job) pending() int {
+	n := j.left() - len(j.places)
+	if j.odd {
+		for i := range j.places {
+			if j.Rec.Finished.Has(i) {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 func (j *Job) cancelled() bool { return j.Rec.Status == Cancelling || j.Rec.Status == Cancelled }
@@ -93,10 +112,27 @@
 	gone   map[ids.Job]bool // jobs whose end this term has stored
 	goneQ  []ids.Job
 	roster *worker.Roster
-	on     map[ids.Machine]map[*Place]bool
-	teams  map[string]placement.Room // use per team, everything that may be there
-	types  map[string]*placement.Type
-	rng    *rand.Rand
+	// What follows is kept up to date change by change, so that planning,
+	// sending and storing never walk the whole fleet or all jobs.
+	line       []*Job // by submission
+	hosts      map[ids.Machine]*host
+	shelves    map[kind]*shelf
+	shelfOrder []*shelf
+	byImage    map[string]map[*host]bool
+	leaving    map[ids.Machine]bool // drained, taken back or to be returned
+	due        map[*host]bool       // have starts or stops to send
+	dirty      map[*Job]bool        // changed since they were last stored
+	roomier    uint64               // counts whenever room becomes free
+	looks      int                  // machines that planning looked at so far
+	lapsed     time.Time            // when lapses were last looked for
+	probedAt   time.Time            // when overdue machines were last looked for
+	probing    int                  // questions under way
+	hintSeq    uint64               // counts what the others should know
+	first      ids.Generation       // the term's first generation
+
+	teams map[string]placement.Room // use per team, everything that may be there
+	types map[string]*placement.Type
+	rng   *rand.Rand
 	// trustSilence is the earliest that an unheard machine's lapse counts: a
 	// predecessor may have gone on answering its worker until its own grace
 	// ended.
@@ -123,10 +159,15 @@
 // NewBook makes the book of one term of ownership.
 func NewBook(set *config.Settings, writer string, gen ids.Generation, trustSilence time.Time) *Book {
 	return &Book{
-		set: set, writer: writer, gen: gen,
+		set: set, writer: writer, gen: gen, first: gen,
 		jobs: map[ids.Job]*Job{}, gone: map[ids.Job]bool{},
 		roster:       worker.NewRoster(set.Params.Workers.LeaseS),
-		on:           map[ids.Machine]map[*Place]bool{},
+		hosts:        map[ids.Machine]*host{},
+		shelves:      map[kind]*shelf{},
+		byImage:      map[string]map[*host]bool{},
+		leaving:      map[ids.Machine]bool{},
+		due:          map[*host]bool{},
+		dirty:        map[*Job]bool{},
 		teams:        map[string]placement.Room{},
 		types:        map[string]*placement.Type{},
 		rng:          rand.New(rand.NewPCG(uint64(gen), uint64(len(writer)))),
@@ -164,6 +205,14 @@
 // touch marks a job as changed.
 func (b *Book) touch(j *Job) {
 	j.version++
+	if b.jobs[j.Rec.Spec.ID] == j && !j.ended {
+		if !b.dirty[j] {
+			b.dirty[j], j.dirtySince = true, time.Now()
+		}
+		if j.Rec.Status.Over() {
+			j.urgent = true
+		}
+	}
 	if !j.Rec.Status.Over() && j.Rec.Status != Cancelling {
 		if len(j.places) > 0 {
 			j.Rec.Status = Claimed
@@ -171,15 +220,24 @@
 			j.Rec.Status = Queued
 		}
 	}
+	if j.urgent {
+		poke(b.wakeCommit)
+	}
+}
+
+// hurry marks a job's change as one that others wait for: a marker before
+// starts, or an end.
+func (b *Book) hurry(j *Job) {
+	j.urgent = true
 	poke(b.wakeCommit)
 }
 
 func (b *Book) putPlace(p *Place) {
 	p.Job.places[p.Index] = p
-	if b.on[p.Machine] == nil {
-		b.on[p.Machine] = map[*Place]bool{}
+	if p.Job.Rec.Finished.Has(p.Index) {
+		p.Job.odd = true
 	}
-	b.on[p.Machine][p] = true
+	b.put(b.hostOf(p.Machine), p)
 	t := p.Job.Rec.Spec.Team
 	b.teams[t] = b.teams[t].Plus(p.Job.Rec.Spec.Need)
 }
@@ -187,21 +245,27 @@
 // dropPlace takes a place off the books: its task is proven not to be there.
 func (b *Book) dropPlace(p *Place) {
 	delete(p.Job.places, p.Index)
-	delete(b.on[p.Machine], p)
-	if len(b.on[p.Machine]) == 0 {
-		delete(b.on, p.Machine)
-		if m := b.roster.Machines[p.Machine]; m != nil {
+	if h := b.hosts[p.Machine]; h != nil {
+		b.drop(h, p)
+		if m := b.roster.Machines[p.Machine]; m != nil && len(h.places) == 0 {
 			m.IdleSince = time.Now()
 		}
 	}
 	t := p.Job.Rec.Spec.Team
 	b.teams[t] = b.teams[t].Minus(p.Job.Rec.Spec.Need)
 	if p.Job.ended && len(p.Job.places) == 0 {
-		delete(b.jobs, p.Job.Rec.Spec.ID)
+		b.unlist(p.Job)
 	}
 	poke(b.wakePlan)
 }
 
+// unlist takes a job out of the book.
+func (b *Book) unlist(j *Job) {
+	delete(b.jobs, j.Rec.Spec.ID)
+	delete(b.dirty, j)
+	b.unqueue(j)
+}
+
 // Load fills the book with the records found at a takeover. Their claims lapsed
 // with their owner; their places stay until a report, a lapse or the cloud says
 // what became of them.
@@ -215,7 +279,7 @@
 			for _, i := range sortedTasks(j.places) {
 				b.dropPlace(j.places[i])
 			}
-			delete(b.jobs, id)
+			b.unlist(j)
 		}
 	}
 	for id, r := range recs {
@@ -234,18 +298,23 @@
 		j.version, j.saved = 1, 1
 	}
 	b.jobs[r.Spec.ID] = j
-	for _, pr := range r.Places {
-		pr.Tasks.Each(func(i int) {
-			b.roster.Ensure(pr.Machine, now, b.trustSilence)
-			b.putPlace(&Place{Job: j, Index: i, Machine: pr.Machine, Session: pr.Session, Attempt: pr.Attempt,
-				Token: pr.Token, sent: true, since: now, stopping: j.cancelled(), why: "cancelled"})
-		})
-	}
+	b.queue(j)
+	r.eachPlace(func(i int, at spot) {
+		b.roster.Ensure(at.machine, now, b.trustSilence)
+		b.putPlace(&Place{Job: j, Index: i, Machine: at.machine, Session: at.session, Attempt: at.attempt,
+			Token: at.token, sent: true, since: now, stopping: j.cancelled(), why: "cancelled"})
+	})
 	j.Rec.Places = nil
 	b.finishIfOver(j)
 	return j
 }
 
+// wrote tells whether a record is this owner's own writing, without reading
+// all of it: most news is, and the book knows it already.
+func (b *Book) wrote(raw json.RawMessage) bool {
+	return bytes.Contains(raw, []byte(`"writer":"`+b.writer+`"`))
+}
+
 // Learn takes in what another controller wrote: a new job or a cancellation.
 // rec is nil when the live record went away.
 func (b *Book) Learn(id ids.Job, stamp ids.Stamp, rec *Record, now time.Time) {
@@ -312,6 +381,7 @@
 		return
 	}
 	p.stopping, p.leeway, p.why, p.stopAt = true, leeway, why, time.Now()
+	b.owe(p)
 	if !p.seen && !p.offeredOnlyByBeat(b) && b.current(p) {
 		// A late start could yet begin it: raise the token so that the worker
 		// turns that away once it hears.
@@ -339,7 +409,8 @@
 		b.note(j, "done")
 		for _, i := range sortedTasks(j.places) {
 			if p := j.places[i]; p.sent {
-				p.stopping, p.why = true, "job done"
+				p.stopping, p.why, p.stopAt = true, "job done", time.Now()
+				b.owe(p)
 			} else {
 				b.dropPlace(p)
 			}
@@ -357,8 +428,9 @@
 func (b *Book) forget(j *Job) {
 	id := j.Rec.Spec.ID
 	j.ended = true
+	delete(b.dirty, j)
 	if len(j.places) == 0 {
-		delete(b.jobs, id)
+		b.unlist(j)
 	}
 	if !b.gone[id] {
 		b.gone[id] = true
@@ -377,6 +449,14 @@
 	for i := range ts {
 		b.types[ts[i].Label] = &ts[i]
 	}
+	for _, s := range b.shelfOrder {
+		if t := b.types[s.label]; t != nil {
+			s.t = t
+		}
+	}
+	for _, h := range b.hosts {
+		b.shelve(h) // machines may have been heard before their type was known
+	}
 }
 
 // Explain tells a job's trail and why its tasks wait, as the owner sees it.
--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -66,7 +66,7 @@
 			j.Rec.Finished.Add(i)
 		}
 	}
-	for i := range b.openLimit() {
+	for i := range b.openLimit(j) {
 		b.putPlace(&Place{Job: j, Index: i * 40, Machine: ids.Machine(fmt.Sprintf("host-%06d", i)), Session: 1, Attempt: 9, Token: 7})
 	}
 	out := j.Rec
@@ -76,7 +76,7 @@
 		t.Fatal("does not fit")
 	}
 	back, err := Decode(raw)
-	if err != nil || back.Open() != b.openLimit() || back.Finished.Len() != j.Rec.Finished.Len() {
+	if err != nil || back.Open() != b.openLimit(j) || back.Finished.Len() != j.Rec.Finished.Len() {
 		t.Fatalf("%v; %d open, %d finished", err, back.Open(), back.Finished.Len())
 	}
 }
@@ -88,13 +88,13 @@
 	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 4, 1), now)
 	b.Plan(now)
 	b.store()
-	if len(b.on["m1"]) != 4 {
+	if len(b.placesOn("m1")) != 4 {
 		t.Fatal("not placed")
 	}
 	// Same priority, beyond its guarantee: waits.
 	b.Learn("job-2", 2, rec("job-2", "red", Normal, 5, 1), now)
 	b.Plan(now)
-	for p := range b.on["m1"] {
+	for p := range b.placesOn("m1") {
 		if p.stopping {
 			t.Fatal("displaced by work of the same priority")
 		}
@@ -103,7 +103,7 @@
 	b.Learn("job-3", 3, rec("job-3", "red", Critical, 1, 2), now)
 	b.Plan(now)
 	stopped := 0
-	for p := range b.on["m1"] {
+	for p := range b.placesOn("m1") {
 		if p.stopping {
 			stopped++
 		}
@@ -136,12 +136,17 @@
 	now := time.Now()
 	b := testBook()
 	low, high := rec("job-1", "blue", Low, 60, 1), rec("job-2", "blue", High, 60, 1)
-	low.Submitted = ids.WallOf(now.Add(-time.Hour))
+	low.Submitted, low.Attempt = ids.WallOf(now.Add(-time.Hour)), 1
 	b.Learn("job-1", 1, low, now)
 	b.Learn("job-2", 2, high, now)
 	if js := b.ranked(now); js[0].Rec.Spec.ID != "job-2" {
 		t.Error("low work overtook high work")
 	}
+	// But what has not begun at all for so long does, for its first start.
+	b.jobs["job-1"].Rec.Attempt = 0
+	if js := b.ranked(now); js[0].Rec.Spec.ID != "job-1" {
+		t.Error("a job that never began waits on")
+	}
 }
 
 func TestAJobsOwnMistakeDoesNotCondemnMachines(t *testing.T) {
@@ -275,12 +280,12 @@
 	b := testBook()
 	b.hear("warm", "north", 1)
 	b.hear("cold", "north", 1)
-	b.roster.Machines["warm"].Images.Use("svc", 5, 20)
+	b.holdsNow(b.hostOf("warm"), b.roster.Machines["warm"], "svc", 5, 20)
 	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 4, 1), now)
-	b.roster.Machines["warm"].Images.Use("i", 1, 20) // so that the array goes there
+	b.holdsNow(b.hostOf("warm"), b.roster.Machines["warm"], "i", 1, 20) // so that the array goes there
 	b.Plan(now)
 	b.store()
-	if len(b.on["warm"]) != 4 {
+	if len(b.placesOn("warm")) != 4 {
 		t.Fatal("the array is elsewhere")
 	}
 	svc := rec("job-2", "blue", Critical, 1, 1)
@@ -307,7 +312,7 @@
 	b.Plan(now)
 	b.store()
 	for m := range b.roster.Machines {
-		for p := range b.on[m] {
+		for p := range b.placesOn(m) {
 			p.seen = true
 		}
 	}
@@ -317,7 +322,7 @@
 	}
 	b.Plan(now) // each displaces a task of four cores for one core
 	for m := range b.roster.Machines {
-		for p := range b.on[m] {
+		for p := range b.placesOn(m) {
 			if p.stopping {
 				b.dropPlace(p)
 			}
@@ -356,7 +361,7 @@
 	b := testBook()
 	b.hear("warm", "north", 1)
 	b.hear("cold", "north", 1)
-	b.roster.Machines["warm"].Images.Use("svc", 5, 20)
+	b.holdsNow(b.hostOf("warm"), b.roster.Machines["warm"], "svc", 5, 20)
 	svc := func(id ids.Job, team string, tasks int) *Record {
 		r := rec(id, team, Critical, tasks, 1)
 		r.Spec.Shape, r.Spec.Image, r.Spec.ImageGB = Service, "svc", 5
@@ -377,3 +382,37 @@
 		t.Fatal("the other team's replica was not placed")
 	}
 }
+
+func TestAMissWidensTheSampleToAll(t *testing.T) {
+	now := time.Now()
+	b := testBook()
+	one := func(id ids.Job, cores float64) {
+		b.Learn(id, 1, rec(id, "blue", Normal, 1, cores), now)
+		b.Plan(now)
+	}
+	for i := range 60 {
+		b.hear(ids.Machine(fmt.Sprintf("m%02d", i)), "north", 1)
+	}
+	for i := range 59 {
+		one(ids.Job(fmt.Sprintf("job-%d", i)), 3)
+	}
+	b.hear("wide", "north", 1)
+	one("job-100", 4) // only two machines of sixty-one have room for it
+	one("job-101", 4)
+	one("job-102", 4)
+	if n := len(b.jobs["job-100"].places) + len(b.jobs["job-101"].places) + len(b.jobs["job-102"].places); n != 2 {
+		t.Fatalf("%d of 2 that fit were placed", n)
+	}
+	b.hear("warm", "north", 1)
+	b.holdsNow(b.hostOf("warm"), b.roster.Machines["warm"], "other", 1, 20)
+	for i := range 5 {
+		b.hear(ids.Machine(fmt.Sprintf("cold%d", i)), "north", 1)
+	}
+	r := rec("job-200", "blue", Normal, 1, 1)
+	r.Spec.Image = "other"
+	b.Learn("job-200", 1, r, now)
+	b.Plan(now)
+	if p := b.jobs["job-200"].places[0]; p == nil || p.Machine != "warm" {
+		t.Fatalf("placed %+v, not where its image is", p)
+	}
+}
--- a/internal/claim/commit.go
+++ b/internal/claim/commit.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/measure"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -88,7 +89,10 @@
 		txn.When = append(txn.When, p.conds...)
 		txn.Then = append(txn.Then, p.ops...)
 	}
+	began := time.Now()
 	epoch, err := c.State.Commit(ctx, txn, state.Urgent)
+	measure.Process.Took("commit", began)
+	measure.Process.Count("changes committed", len(txn.Then))
 	var conflict *state.Conflict
 	switch {
 	case err == nil:
@@ -122,22 +126,36 @@
 	}
 }
 
+// settleEvery is how long outcomes of unfinished jobs may wait for one another
+// before they are stored. Nothing is lost by that: until stored they are not
+// cleared, so the next owner would learn them from the workers again; and what
+// others wait for, markers and ends, is never kept waiting.
+const settleEvery = 1500 * time.Millisecond
+
 // collect picks changed jobs, most urgent first, within the limits of one
 // transaction.
 func (c *Committer) collect() []pending {
 	b := c.Book
 	var dirty []*Job
-	for _, j := range b.jobs {
-		if j.version > j.saved && !j.ended {
+	now := time.Now()
+	for j := range b.dirty {
+		if j.version <= j.saved || j.ended {
+			delete(b.dirty, j)
+			continue
+		}
+		if j.urgent || now.Sub(j.dirtySince) >= settleEvery {
 			dirty = append(dirty, j)
 		}
 	}
 	sort.Slice(dirty, func(x, y int) bool {
-		a, z := &dirty[x].Rec, &dirty[y].Rec
-		if a.Spec.Priority != z.Spec.Priority {
-			return a.Spec.Priority > z.Spec.Priority
+		a, z := dirty[x], dirty[y]
+		if a.urgent != z.urgent {
+			return a.urgent
+		}
+		if pa, pz := a.Rec.Spec.Priority, z.Rec.Spec.Priority; pa != pz {
+			return pa > pz
 		}
-		return a.Spec.ID < z.Spec.ID
+		return earlier(a, z) < 0
 	})
 	maxOps := min(b.set.Params.State.TxnOps, max(2, c.State.Budget().WriteBurst()))
 	limit := int(b.set.Params.State.ValueKB * 1024)
@@ -174,17 +192,22 @@
 }
 
 // unplaceable gives up places whose marker does not fit into a value: without
-// one nothing of them may start, and they must not hold room for ever.
+// one nothing of them may start, and they must not hold room for ever. From
+// then on fewer tasks of the job are claimed at a time.
 func (b *Book) unplaceable(j *Job) {
-	slog.Error("record too large to store", "job", j.Rec.Spec.ID, "places", len(j.places))
+	slog.Warn("record too large to store; fewer tasks at a time", "job", j.Rec.Spec.ID, "places", len(j.places))
+	j.most = max(1, min(len(j.places), b.openLimit(j))/2)
+	j.waiting = "its places do not fit into a record of the state service"
+	dropped := false
 	for _, i := range sortedTasks(j.places) {
 		if p := j.places[i]; !p.sent {
 			b.dropPlace(p)
+			dropped = true
 		}
 	}
-	j.waiting = "its places do not fit into a record of the state service"
-	j.tooLarge = true
-	b.touch(j)
+	if dropped {
+		b.touch(j)
+	}
 }
 
 // stored takes in that a version is in the store.
@@ -192,11 +215,30 @@
 	j := p.job
 	j.stamp = stamp
 	j.saved = max(j.saved, p.version)
+	b.settledUpTo(j)
 	if p.over {
 		b.forget(j)
 	}
 }
 
+// settledUpTo notes what newly stored versions allow: starts whose marker is in
+// the store go out, and later changes may wait for one another again.
+func (b *Book) settledUpTo(j *Job) {
+	if j.saved >= j.version {
+		delete(b.dirty, j)
+		j.urgent = false
+	} else {
+		j.dirtySince = time.Now()
+	}
+	for _, p := range j.places {
+		if !p.sent && p.version <= j.saved {
+			b.owe(p)
+		} else if !p.sent {
+			j.urgent = true
+		}
+	}
+}
+
 // raise lifts the generation while keeping the pool, so that workers turn away
 // whatever direct start is still under way.
 func (c *Committer) raise(ctx context.Context) bool {
@@ -225,6 +267,11 @@
 	b := c.Book
 	b.mu.Lock()
 	b.gen, b.bump = g, false
+	for _, h := range b.hosts {
+		if len(h.places) > 0 {
+			b.due[h] = true // markers not sent yet must carry the new token
+		}
+	}
 	b.mu.Unlock()
 	c.GenStamp = stamp
 	slog.Info("generation raised to turn late starts away", "generation", g)
@@ -270,6 +317,7 @@
 			if rec.Writer == b.writer {
 				p.job.stamp = live.Stamp
 				p.job.saved = max(p.job.saved, min(rec.Seq, p.job.version))
+				b.settledUpTo(p.job)
 			} else {
 				b.adopt(p.job, live.Stamp, rec)
 			}
--- a/internal/claim/dispatch.go
+++ b/internal/claim/dispatch.go
@@ -27,13 +27,15 @@
 	}
 	now := time.Now()
 	var out []batch
-	for name, ps := range b.on {
+	for h := range b.due {
+		delete(b.due, h)
+		name := h.name
 		m := b.roster.Machines[name]
 		if m == nil || !m.Heard || m.Addr == "" || m.Deleting {
-			continue
+			continue // due again once it is heard
 		}
 		ba := batch{machine: name, addr: m.Addr, session: m.Session, token: b.gen}
-		for p := range ps {
+		for p := range h.places {
 			if p.Session != m.Session {
 				continue
 			}
@@ -45,11 +47,12 @@
 				p.sent = true
 				m.Lates = append(m.Lates, worker.Late{Task: p.Task().String(), Attempt: p.Attempt, Token: b.gen, Session: m.Session})
 				ba.orders = append(ba.orders, worker.Start(p.Task(), p.Attempt))
-			case !p.stopping && !p.sent && p.Job.saved >= p.version:
+			case !p.stopping && !p.sent && p.Job.saved >= p.version && p.version > 0:
 				// The generation rose between marker and start: the marker
 				// must carry the token that the start goes out with.
 				p.Token = b.gen
 				b.touch(p.Job)
+				b.hurry(p.Job)
 				p.version = p.Job.version
 			}
 		}
@@ -60,6 +63,13 @@
 	return out
 }
 
+// owe notes that something is to be sent to a place's machine.
+func (b *Book) owe(p *Place) {
+	if h := b.hosts[p.Machine]; h != nil {
+		b.due[h] = true
+	}
+}
+
 // answered settles what became of a batch.
 func (b *Book) answered(ba batch, how worker.Outcome) {
 	if how == worker.Uncertain {
@@ -138,15 +148,22 @@
 // takeover it asks all that are known, instead of waiting until their workers
 // have found the new owner, and shows them its token.
 func (d *Dispatcher) probe(ctx context.Context) {
-	for _, pr := range d.Book.toProbe(time.Now()) {
+	for _, pr := range d.Book.toProbe(time.Now(), cap(d.slots)) {
 		go func() {
-			rep := d.Commander.Show(ctx, pr.addr, 800*time.Millisecond)
+			var rep *worker.Report
+			if pr.session > 0 {
+				// No orders: only so that what older owners sent is turned
+				// away from here on, and the answer tells what is there.
+				ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+				_, rep = d.Commander.Send(ctx, pr.addr, pr.token, pr.session, nil)
+				cancel()
+			} else {
+				rep = d.Commander.Show(ctx, pr.addr, probeTimeout)
+			}
 			if rep != nil && rep.Machine != pr.machine {
 				rep = nil
 			}
 			if rep != nil && rep.Token < pr.token {
-				// No orders: only so that what older owners sent is turned
-				// away from here on, and the answer tells what is there.
 				if _, fenced := d.Commander.Send(ctx, pr.addr, pr.token, rep.Session, nil); fenced != nil && fenced.Machine == pr.machine {
 					rep = fenced
 				}
@@ -159,26 +176,42 @@
 	}
 }
 
+const probeTimeout = 800 * time.Millisecond
+
 type probe struct {
 	machine ids.Machine
 	addr    string
 	token   ids.Generation
+	session ids.Session // believed, of a machine not heard yet
 }
 
-func (b *Book) toProbe(now time.Time) (out []probe) {
+// toProbe picks whom to ask now, at most most at a time.
+func (b *Book) toProbe(now time.Time, most int) (out []probe) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if now.Sub(b.probedAt) < 100*time.Millisecond {
+		return nil
+	}
+	b.probedAt = now
 	overdue := b.set.Params.Workers.ReportS.Duration() / 2
 	for _, m := range b.roster.Machines {
-		if m.Deleting || m.Probing || m.Addr == "" || len(out) >= 24 {
+		if b.probing >= most {
+			break
+		}
+		if m.Deleting || m.Probing || m.Addr == "" {
 			continue
 		}
 		if m.Heard && m.Silent(now) > overdue && now.Sub(m.Asked) > overdue/2 || !m.Heard && !m.Booting && now.Sub(m.Asked) > time.Second {
 			m.Probing, m.Asked = true, now
+			b.probing++
 			if m.Probes == 0 {
 				m.Doubted = now
 			}
-			out = append(out, probe{m.Name, m.Addr, b.gen})
+			pr := probe{machine: m.Name, addr: m.Addr, token: b.gen}
+			if !m.Heard {
+				pr.session = m.Hinted
+			}
+			out = append(out, pr)
 		}
 	}
 	return out
@@ -187,6 +220,7 @@
 func (b *Book) probed(name ids.Machine, answered bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.probing--
 	if m := b.roster.Machines[name]; m != nil {
 		m.Probing = false
 		if !answered {
@@ -198,35 +232,58 @@
 // Hint is what an owner tells the others of a machine, so that the next owner
 // need not find it out again. Nothing rests on it but time.
 type Hint struct {
-	Name   ids.Machine
-	Addr   string
-	Type   string
-	Zone   string
-	Spot   bool
-	Images worker.Images
+	Name    ids.Machine
+	Addr    string
+	Type    string
+	Zone    string
+	Spot    bool
+	Session ids.Session
+	Images  worker.Images
+}
+
+// HintMark is how far in an owner's hints somebody is.
+type HintMark struct {
+	Gen   ids.Generation
+	Seq   uint64
+	Whole bool // the hints that come with it are all there are
+	At    time.Time
 }
 
-// Hints lists the machines heard.
-func (b *Book) Hints() (out []Hint) {
+// hinted notes that what the others should know of a machine changed.
+func (b *Book) hinted(m *worker.Machine) {
+	b.hintSeq++
+	m.HintSeq = b.hintSeq
+}
+
+// Hints lists the machines heard of which something changed since a mark, or
+// all if it is not this owner's.
+func (b *Book) Hints(since HintMark) (out []Hint, to HintMark) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	to = HintMark{Gen: b.first, Seq: b.hintSeq, Whole: since.Gen != b.first}
+	if to.Whole {
+		since.Seq = 0
+	}
 	for _, m := range b.roster.Machines {
-		if m.Heard && !m.Deleting && len(out) < 1000 {
-			out = append(out, Hint{m.Name, m.Addr, m.Type, m.Zone, m.Spot, m.Images.Copy()})
+		if m.Heard && !m.Deleting && m.HintSeq > since.Seq {
+			out = append(out, Hint{m.Name, m.Addr, m.Type, m.Zone, m.Spot, m.Session, m.Images.Copy()})
 		}
 	}
-	return out
+	return out, to
 }
 
 // Seed takes hints of an earlier owner.
-func (b *Book) Seed(hs []Hint, now time.Time) {
+func (b *Book) Seed(hs map[ids.Machine]Hint, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, h := range hs {
 		m := b.roster.Ensure(h.Name, now, b.trustSilence)
 		if !m.Heard {
-			m.Addr, m.Type, m.Zone, m.Spot = h.Addr, h.Type, h.Zone, h.Spot
+			m.Addr, m.Type, m.Zone, m.Spot, m.Hinted = h.Addr, h.Type, h.Zone, h.Spot, h.Session
 			m.Images = h.Images
+			for _, n := range h.Images.Names {
+				b.holders(n)[b.hostOf(h.Name)] = true
+			}
 		}
 	}
 }
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/measure"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
@@ -77,6 +78,7 @@
 func (b *Book) Needs(now time.Time) (ds []placement.Demand, ups []placement.Up, types []*placement.Type) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	defer measure.Process.Took("weighing the fleet", time.Now())
 	for _, t := range b.types {
 		types = append(types, t)
 	}
@@ -90,12 +92,9 @@
 		if m.Heard && !m.Usable(now, b.set.Params.Workers.ReportS) || m.Name == b.emptying {
 			continue
 		}
-		u := placement.Up{Name: m.Name, Type: t, Zone: m.Zone, Spot: m.Spot, Coming: !m.Heard,
-			Free: t.Room().Minus(b.usedOn(m.Name)), Idle: len(b.on[m.Name]) == 0 && m.Heard}
-		for p := range b.on[m.Name] {
-			if p.Job.Rec.Spec.Shape != Service {
-				u.Turn = u.Turn.Plus(p.Job.Rec.Spec.Need)
-			}
+		u := placement.Up{Name: m.Name, Type: t, Zone: m.Zone, Spot: m.Spot, Coming: !m.Heard, Free: t.Room(), Idle: m.Heard}
+		if h := b.hosts[m.Name]; h != nil {
+			u.Free, u.Turn, u.Idle = u.Free.Minus(h.used), h.turn, m.Heard && len(h.places) == 0
 		}
 		ups = append(ups, u)
 	}
@@ -364,6 +363,7 @@
 	defer b.mu.Unlock()
 	silentAfter := 3*b.set.Params.Workers.ReportS.Duration() + 4*time.Second
 	var out []ids.Machine
+	si := b.listen()
 	for _, m := range b.roster.Machines {
 		if needed[m.Name] || !m.Heard {
 			m.NeededAt = now
@@ -371,7 +371,10 @@
 		// Dear machines are not kept by cheap work that could run elsewhere.
 		t := b.types[m.Type]
 		m.Going = m.Name == b.emptying || t != nil && t.Accels > 0 && now.Sub(m.NeededAt).Seconds() > b.set.Own.IdleReturnS
-		if why := b.whyReturn(m, now, silentAfter, needed); why != "" || m.Deleting {
+		if m.Going {
+			b.leaving[m.Name] = true
+		}
+		if why := b.whyReturn(m, now, silentAfter, needed, si); why != "" || m.Deleting {
 			if !m.Deleting {
 				slog.Info("machine returned", "machine", m.Name, "type", m.Type, "spot", m.Spot, "why", why)
 				m.Deleting = true
@@ -383,8 +386,8 @@
 	return out
 }
 
-func (b *Book) whyReturn(m *worker.Machine, now time.Time, silentAfter time.Duration, needed map[ids.Machine]bool) string {
-	empty := len(b.on[m.Name]) == 0
+func (b *Book) whyReturn(m *worker.Machine, now time.Time, silentAfter time.Duration, needed map[ids.Machine]bool, si *silence) string {
+	empty := len(b.placesOn(m.Name)) == 0
 	t := b.types[m.Type]
 	switch {
 	case m.Failed:
@@ -395,11 +398,11 @@
 		return m.Draining
 	case m.Name == b.emptying && empty:
 		return "its work was moved together with other work"
-	case m.Heard && (m.Silent(now) > silentAfter || m.Probes >= 2 && m.Silent(now) > b.silentFor()) && b.alone(m):
+	case m.Heard && (m.Silent(now) > silentAfter || m.Probes >= 2 && m.Silent(now) > b.silentFor()) && si.alone(m):
 		return "silent"
 	case !m.Heard && m.Booting && t != nil && now.Sub(m.HeldSince) > time.Duration(b.set.Own.StuckBootFactor*float64(t.BootS.Duration())):
 		return "it does not come up"
-	case !m.Heard && !m.Booting && b.alone(m) && (now.Sub(m.Born) > 2*silentAfter || !empty && (m.Probes >= 4 || m.Addr == "" && now.Sub(m.Born) > silentAfter)):
+	case !m.Heard && !m.Booting && si.alone(m) && (now.Sub(m.Born) > 2*silentAfter || !empty && (m.Probes >= 4 || m.Addr == "" && now.Sub(m.Born) > silentAfter)):
 		// It held tasks for an earlier owner and neither answers nor is
 		// listed: returning it proves its tasks gone.
 		return "up but never heard"
@@ -414,31 +417,45 @@
 // off sees many such machines and then returns none.
 func (b *Book) silentFor() time.Duration { return b.set.Params.Workers.ReportS.Duration() }
 
-// alone tells whether a machine's silence is its own: since it was first asked
-// in vain most others have been heard, and not many more are silent. Reports
-// come seconds apart, so that right after this node is cut off only the first
-// few machines look silent; what counts is who was heard after.
-func (b *Book) alone(m *worker.Machine) bool {
-	if !b.Storing() {
-		return false // what ran there could not be started elsewhere
-	}
-	if b.darkZones()[m.Zone] {
-		return false // its zone is cut off or down: the leases decide
-	}
-	all, since, silent := 0, 0, 0
+// silence is who is heard and who is not, counted once for all machines that
+// are judged by it.
+type silence struct {
+	storing     bool
+	dark        map[string]bool
+	all, silent int
+	seen        []time.Time // of those heard, in order
+}
+
+func (b *Book) listen() *silence {
+	si := &silence{storing: b.Storing(), dark: b.darkZones()}
 	for _, o := range b.roster.Machines {
 		if o.Booting || o.Deleting || o.Failed || !o.Heard && o.Probes == 0 {
 			continue
 		}
-		all++
+		si.all++
 		switch {
-		case o.Heard && o.Probes == 0 && o.Seen.After(m.Doubted):
-			since++
+		case o.Heard && o.Probes == 0:
+			si.seen = append(si.seen, o.Seen)
 		case o.Probes > 0:
-			silent++
+			si.silent++
 		}
 	}
-	return silent <= max(1, all*2/5) && since >= (all-silent+1)/2 && since > 0
+	slices.SortFunc(si.seen, time.Time.Compare)
+	return si
+}
+
+// alone tells whether a machine's silence is its own: since it was first asked
+// in vain most others have been heard, and not many more are silent. Reports
+// come seconds apart, so that right after this node is cut off only the first
+// few machines look silent; what counts is who was heard after.
+func (si *silence) alone(m *worker.Machine) bool {
+	// While nothing can be stored, what ran there could not be started
+	// elsewhere; if all of a zone is cut off or down, the leases decide.
+	if !si.storing || si.dark[m.Zone] {
+		return false
+	}
+	since := len(si.seen) - sort.Search(len(si.seen), func(k int) bool { return si.seen[k].After(m.Doubted) })
+	return si.silent <= max(1, si.all*2/5) && since >= (si.all-si.silent+1)/2 && since > 0
 }
 
 // darkZones lists the zones of which nothing is heard any more. Work in a zone
@@ -494,7 +511,11 @@
 	var out []Emptiable
 	worth := map[ids.Machine]float64{}
 next:
-	for name, ps := range b.on {
+	for name, h := range b.hosts {
+		if len(h.places) == 0 {
+			continue
+		}
+		ps := h.places
 		m := b.roster.Machines[name]
 		if m == nil || b.types[m.Type] == nil || !m.Usable(now, b.set.Params.Workers.ReportS) || now.Sub(m.HeldSince) < time.Minute || m.Going {
 			continue
@@ -532,6 +553,7 @@
 		slog.Info("machine is being emptied", "machine", name)
 		if m := b.roster.Machines[name]; m != nil {
 			m.Going = true
+			b.leaving[name] = true
 		}
 	}
 	return was != "" && b.roster.Machines[was] != nil
--- a/internal/claim/pool.go
+++ b/internal/claim/pool.go
@@ -63,7 +63,8 @@
 	mu      sync.Mutex
 	term    *Term
 	resting time.Time                 // no campaign before
-	hints   []Hint                    // of the last owner heard
+	hints   map[ids.Machine]Hint      // of the last owner heard
+	heardTo HintMark                  // what of its hints is here
 	sent    map[ids.Machine]time.Time // when workers were last sent on to the owner
 }
 
@@ -71,15 +72,16 @@
 // node's earlier ones.
 func NewPool(set *config.Settings, c *state.Client, cmd *worker.Commander, incarnation string) *Pool {
 	p := &Pool{Set: set, State: c, Commander: cmd, incarnation: incarnation, sent: map[ids.Machine]time.Time{}}
-	p.mirror = state.NewMirror(c, PoolPrefix, 50*time.Millisecond)
-	p.jobs = state.NewMirror(c, JobPrefix, 250*time.Millisecond)
+	p.mirror = state.NewMirror(c, PoolPrefix, 100*time.Millisecond)
+	p.jobs = state.NewMirror(c, JobPrefix, 400*time.Millisecond)
 	p.jobs.OnChange = func(ch state.Change) {
 		id := ids.Job(strings.TrimPrefix(ch.Key(), JobPrefix))
 		if ch.Put == "" {
 			p.Learn(id, ch.Stamp, nil)
 			return
 		}
-		if p.Book() == nil {
+		b := p.Book()
+		if b == nil || b.wrote(ch.Value) {
 			return
 		}
 		if rec, err := Decode(ch.Value); err == nil {
@@ -89,6 +91,9 @@
 	return p
 }
 
+// Jobs is this node's copy of the live records.
+func (p *Pool) Jobs() *state.Mirror { return p.jobs }
+
 // Run takes part until the context ends.
 func (p *Pool) Run(ctx context.Context) {
 	go p.mirror.Run(ctx)
@@ -246,7 +251,7 @@
 	tctx, cancel := context.WithCancel(ctx)
 	t := &Term{Gen: gen, Book: b, hold: hold, renewed: sent, loaded: make(chan struct{}), cancel: cancel}
 	t.Committer = NewCommitter(b, p.State, p.Set.HostName, stamp)
-	t.Dispatcher = NewDispatcher(b, p.Commander, max(4, min(64, p.Set.Params.Limits.MaxSockets/8)))
+	t.Dispatcher = NewDispatcher(b, p.Commander, max(4, p.Set.Params.Limits.MaxSockets/16))
 	t.Committer.OnLost = func(why string) { go p.stepDown(t, why) }
 	t.Committer.OnStored = t.Dispatcher.Wake
 	p.State.Budget().SetOwner(true)
@@ -269,7 +274,9 @@
 // changing any of them.
 func (p *Pool) load(ctx context.Context, t *Term) bool {
 	for ctx.Err() == nil {
-		jobs, epoch, err := p.State.ListAll(ctx, JobPrefix, state.Urgent)
+		// The copy is warm; what it lacks is read after the takeover's commit.
+		err := p.jobs.Sync(ctx)
+		jobs, epoch := p.jobs.All()
 		if err == nil {
 			t.Intents, _, err = p.State.ListAll(ctx, HirePrefix, state.Urgent)
 		}
@@ -365,18 +372,41 @@
 }
 
 // Hear keeps an owner's hints for the case that this node comes next.
-func (p *Pool) Hear(hs []Hint) {
+func (p *Pool) Hear(hs []Hint, to HintMark) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.term != nil || to.Gen < p.heardTo.Gen {
+		return
+	}
+	if to.Whole || p.hints == nil {
+		p.hints = map[ids.Machine]Hint{}
+	}
+	for _, h := range hs {
+		p.hints[h.Name] = h
+	}
+	if to.Whole {
+		to.At = time.Now()
+	} else {
+		to.At = p.heardTo.At
+	}
+	p.heardTo = to
+}
+
+// Heard is what to ask an owner's hints from; all of them now and then, since
+// machines that went away are not named.
+func (p *Pool) Heard() HintMark {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.term == nil {
-		p.hints = hs
+	if time.Since(p.heardTo.At) > 20*time.Second {
+		return HintMark{}
 	}
+	return p.heardTo
 }
 
 func (p *Pool) noteRedirect(m ids.Machine) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.sent) > 5000 {
+	if len(p.sent) > 20000 {
 		clear(p.sent)
 	}
 	p.sent[m] = time.Now()
--- /dev/null
+++ b/internal/claim/preempt.go
@@ -0,0 +1,352 @@
+package claim
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/placement"
+)
+
+// reservation keeps room that was freed by stopping others for whom it was
+// freed.
+type reservation struct {
+	job   ids.Job
+	need  placement.Room // others may use what is beyond it
+	made  time.Time
+	until time.Time
+}
+
+// preyKey is what decides whom a job may displace.
+type preyKey struct {
+	priority   Priority
+	guaranteed bool
+	team       string
+	fullKey
+}
+
+func (j *Job) preyKey(ask *placement.Ask) preyKey {
+	k := preyKey{priority: j.Rec.Spec.Priority, guaranteed: j.guaranteed, fullKey: keyOf(ask)}
+	if j.guaranteed {
+		k.team = j.Rec.Spec.Team
+	}
+	return k
+}
+
+// preyOf lists the machines on which a job may stop something, or where
+// something is being stopped. Jobs alike share the list within a pass.
+func (b *Book) preyOf(j *Job, ask *placement.Ask, ps *pass) []*host {
+	k := j.preyKey(ask)
+	if hs, ok := ps.prey[k]; ok {
+		return hs
+	}
+	on := map[*host]bool{}
+	for _, o := range b.line {
+		if len(o.places) == 0 || !b.mayStopJob(o, j) {
+			continue
+		}
+		for _, p := range o.places {
+			on[b.hosts[p.Machine]] = true
+		}
+	}
+	hs := make([]*host, 0, len(on))
+	for h := range on {
+		m := b.roster.Machines[h.name]
+		t := b.types[m.Type]
+		if t == nil || !m.Usable(ps.now, b.set.Params.Workers.ReportS) || !ask.Allows(m.Type, m.Zone, m.Spot) {
+			continue
+		}
+		hs = append(hs, h)
+	}
+	slices.SortFunc(hs, func(x, y *host) int { return cmpString(string(x.name), string(y.name)) })
+	ps.prey[k] = hs
+	return hs
+}
+
+// preempt frees room for one task of j by stopping others, where the rules of
+// priority and guarantee allow it, at the least loss.
+func (b *Book) preempt(j *Job, ask *placement.Ask, ps *pass) (bool, string) {
+	k := j.preyKey(ask)
+	if covered(ps.spare[k], ask.Need) {
+		return false, ""
+	}
+	ok, host, barren := b.preemptOn(j, ask, ps, func(*placement.Machine, []*Place) bool { return true })
+	if barren {
+		ps.spare[k] = append(ps.spare[k], ask.Need)
+	}
+	return ok, host
+}
+
+// roomWhereHeld frees room on a machine that holds the image, by stopping
+// tasks that exit at once; it names the machine, also while that goes on.
+func (b *Book) roomWhereHeld(j *Job, ask *placement.Ask, ps *pass) string {
+	for name, r := range b.reserved {
+		if r.job != j.Rec.Spec.ID || ps.now.Sub(r.made) >= time.Second {
+			continue
+		}
+		if h := b.hosts[name]; h != nil && h.holds(b, ask.Image) && (h.shelf == nil || !h.free().Holds(ask.Need)) {
+			return string(name) // not free yet
+		}
+		return ""
+	}
+	if len(b.byImage[ask.Image]) == 0 {
+		return ""
+	}
+	_, host, _ := b.preemptOn(j, ask, ps, func(m *placement.Machine, victims []*Place) bool {
+		// Only lesser work: to swap one replica for another, as a guarantee
+		// would allow, gains nothing here and costs the other its start.
+		return m.Holds && len(victims) > 0 && !slices.ContainsFunc(victims, func(v *Place) bool {
+			return v.leewayWanted() > 0 || v.Job.Rec.Spec.Shape == Service || v.Job.Rec.Spec.Priority >= j.Rec.Spec.Priority
+		})
+	})
+	return host
+}
+
+// displaceable tells whether stopping others would make room on machines
+// without accelerators.
+func (b *Book) displaceable(j *Job, ask *placement.Ask, ps *pass) bool {
+	zones := b.zones(j)
+	for _, h := range b.preyOf(j, ask, ps) {
+		m := b.roster.Machines[h.name]
+		t := b.types[m.Type]
+		if t.Accels > 0 || !t.Room().Holds(ask.Need) || zones.may(m.Zone, 1) == 0 {
+			continue
+		}
+		if _, _, ok := b.victims(j, h, t.Room().Minus(h.used), ask, ps.now); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// preemptOn picks the machine where stopping others loses least among those
+// that may allows; barren tells that no machine was left to choose from.
+func (b *Book) preemptOn(j *Job, ask *placement.Ask, ps *pass, may func(*placement.Machine, []*Place) bool) (done bool, where string, barren bool) {
+	if j.Rec.Spec.Priority < High && !j.guaranteed || !b.Storing() {
+		return false, "", true
+	}
+	now := ps.now
+	zones := b.zones(j)
+	held := 0
+	for name, r := range b.reserved {
+		if !r.until.After(now) {
+			delete(b.reserved, name)
+		} else if r.job == j.Rec.Spec.ID {
+			held++
+		}
+	}
+	if held >= max(1, j.left()-len(j.places)) {
+		return false, "", false
+	}
+	var best *host
+	var bestVictims []*Place
+	bestLoss := 0.0
+	barren = true
+	for _, h := range b.preyOf(j, ask, ps) {
+		if _, ok := b.reserved[h.name]; ok {
+			continue
+		}
+		m := b.roster.Machines[h.name]
+		t := b.types[m.Type]
+		if !t.Room().Holds(ask.Need) {
+			continue
+		}
+		ps.looks++
+		free := t.Room().Minus(h.used)
+		victims, loss, ok := b.victims(j, h, free, ask, now)
+		if !ok {
+			continue
+		}
+		barren = false
+		pm := placement.Machine{Name: h.name, Type: t, Zone: m.Zone, Spot: m.Spot, Free: free, Holds: m.Images.Has(ask.Image)}
+		if zones.may(m.Zone, 1) == 0 || !may(&pm, victims) {
+			continue
+		}
+		if ask.Long && t.Accels > ask.Need.Accels {
+			loss += 1e6 // it would hold the dear machine for good
+		}
+		if !pm.Holds && h.pulls[ask.Image] == nil {
+			loss += ask.ImageGB / max(t.PullGBPerS, 0.01)
+		}
+		if best == nil || loss < bestLoss {
+			best, bestLoss, bestVictims = h, loss, victims
+		}
+	}
+	if best == nil {
+		return false, "", barren
+	}
+	grace := ids.Seconds(0)
+	for _, v := range bestVictims {
+		lee := v.leewayWanted()
+		if j.Rec.Spec.Priority == Critical && v.littleToSave(now) {
+			lee = 0
+		}
+		b.stop(v, lee, fmt.Sprintf("to make room for %s (%s)", j.Rec.Spec.ID, j.Rec.Spec.Priority))
+		grace = max(grace, v.leeway)
+	}
+	b.reserved[best.name] = reservation{j.Rec.Spec.ID, ask.Need, now, now.Add((grace + 10).Duration())}
+	return true, string(best.name), false
+}
+
+// leewayWanted is the leeway that lets a task save.
+func (p *Place) leewayWanted() ids.Seconds {
+	s := &p.Job.Rec.Spec
+	if s.Checkpoint <= 0 {
+		return 0
+	}
+	return s.Save*1.2 + 1
+}
+
+// littleToSave tells whether what a task did since it last saved by itself is
+// worth less than making critical work wait for a save.
+func (p *Place) littleToSave(now time.Time) bool {
+	s := &p.Job.Rec.Spec
+	if s.Shape != Array || s.Checkpoint <= 0 {
+		return false
+	}
+	if p.ranSince.IsZero() {
+		return true
+	}
+	since := math.Mod(now.Sub(p.ranSince).Seconds(), float64(s.Checkpoint))
+	return since <= 3*float64(s.Save)
+}
+
+// victims picks whom to stop on a machine so that the ask fits.
+func (b *Book) victims(j *Job, h *host, free placement.Room, ask *placement.Ask, now time.Time) ([]*Place, float64, bool) {
+	type cand struct {
+		p    *Place
+		loss float64
+	}
+	var cs []cand
+	for p := range h.places {
+		if p.stopping {
+			free = free.Plus(p.Job.Rec.Spec.Need)
+			continue
+		}
+		if b.mayStop(p, j) {
+			cs = append(cs, cand{p, p.lossIfStopped(now)})
+		}
+	}
+	hurry := j.Rec.Spec.Priority == Critical
+	sort.Slice(cs, func(x, y int) bool {
+		a, z := cs[x].p.Job.Rec.Spec.Priority, cs[y].p.Job.Rec.Spec.Priority
+		// Critical work does not wait for others to save.
+		if sx, sy := cs[x].p.leewayWanted(), cs[y].p.leewayWanted(); hurry && sx != sy {
+			return sx < sy
+		}
+		if a != z {
+			return a < z
+		}
+		if cs[x].loss != cs[y].loss {
+			return cs[x].loss < cs[y].loss
+		}
+		return cs[x].p.Task().String() < cs[y].p.Task().String()
+	})
+	var out []*Place
+	loss := 0.0
+	for _, c := range cs {
+		if free.Holds(ask.Need) {
+			break
+		}
+		out = append(out, c.p)
+		loss += c.loss
+		if lee := c.p.leewayWanted(); hurry && lee > 0 && !c.p.littleToSave(now) {
+			loss += 100 * float64(lee)
+		}
+		free = free.Plus(c.p.Job.Rec.Spec.Need)
+	}
+	return out, loss, free.Holds(ask.Need)
+}
+
+// yield stops lesser work of a job's own team when the team's limit is all
+// that keeps high or critical tasks from starting. What is being stopped
+// already counts as making way.
+func (b *Book) yield(j *Job, n int, now time.Time) bool {
+	s := &j.Rec.Spec
+	if s.Priority < High || !b.Storing() {
+		return false
+	}
+	t, _ := b.set.Team(s.Team)
+	over := b.teams[s.Team].Plus(s.Need.Times(float64(n)))
+	over.Cores -= t.CPUsMax
+	over.Accels -= t.GPUsMax
+	if t.CPUsMax == 0 {
+		over.Cores = 0
+	}
+	if t.GPUsMax == 0 {
+		over.Accels = 0
+	}
+	var victims []*Place
+	for _, o := range b.jobs {
+		if o.Rec.Spec.Team != s.Team || o.Rec.Spec.Priority >= s.Priority {
+			continue
+		}
+		for _, p := range o.places {
+			if p.stopping {
+				over = over.Minus(o.Rec.Spec.Need)
+			} else {
+				victims = append(victims, p)
+			}
+		}
+	}
+	sort.Slice(victims, func(x, y int) bool {
+		a, z := victims[x], victims[y]
+		if pa, pz := a.Job.Rec.Spec.Priority, z.Job.Rec.Spec.Priority; pa != pz {
+			return pa < pz
+		}
+		if la, lz := a.lossIfStopped(now), z.lossIfStopped(now); la != lz {
+			return la < lz
+		}
+		return a.Task().String() < z.Task().String()
+	})
+	for _, p := range victims {
+		if over.Cores <= 0 && over.Accels <= 0 {
+			break
+		}
+		need := p.Job.Rec.Spec.Need
+		if (over.Cores > 0 && need.Cores > 0) || (over.Accels > 0 && need.Accels > 0) {
+			over = over.Minus(need)
+			b.stop(p, p.leewayWanted(), fmt.Sprintf("its team is at its limit and %s (%s) goes first", s.ID, s.Priority))
+		}
+	}
+	return over.Cores <= 0 && over.Accels <= 0
+}
+
+// mayStop is the protocol's rule of preemption.
+func (b *Book) mayStop(p *Place, j *Job) bool {
+	return b.mayStopJob(p.Job, j)
+}
+
+func (b *Book) mayStopJob(v, j *Job) bool {
+	if v.Rec.Spec.Priority < j.Rec.Spec.Priority {
+		return true
+	}
+	if !j.guaranteed || v.guaranteed || v.Rec.Spec.Team == j.Rec.Spec.Team {
+		return false
+	}
+	t, _ := b.set.Team(v.Rec.Spec.Team)
+	used := b.teams[v.Rec.Spec.Team]
+	if v.Rec.Spec.Need.Accels > 0 {
+		return used.Accels > t.GPUs
+	}
+	return used.Cores > t.CPUs
+}
+
+// lossIfStopped is the core-seconds of progress that a stop throws away.
+func (p *Place) lossIfStopped(now time.Time) float64 {
+	s := &p.Job.Rec.Spec
+	if p.ranSince.IsZero() {
+		return 0.1 * s.Need.Cores
+	}
+	ran := now.Sub(p.ranSince).Seconds()
+	if s.Checkpoint > 0 {
+		ran = float64(s.Save)
+	}
+	if s.Shape == Service {
+		ran = 1000
+	}
+	return ran * s.Need.Cores
+}
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -5,7 +5,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"log/slog"
 	"sort"
+	"strconv"
+	"strings"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
@@ -113,13 +117,58 @@
 // Over tells whether nothing more happens to the job.
 func (s Status) Over() bool { return s == Cancelled || s == Done }
 
-// Spot where tasks of one attempt may be.
+// spot is a machine, in one session, on which tasks of one attempt may be.
+type spot struct {
+	machine ids.Machine
+	session ids.Session
+	attempt ids.Attempt
+	token   ids.Generation
+}
+
+// placeRec is the places whose starts carry one token. Each is written as
+// "machine/session/attempt:tasks": spelled out as JSON objects, the places of a
+// large array would not fit into a value, and it would run in many small
+// batches.
 type placeRec struct {
-	Machine ids.Machine    `json:"m"`
-	Session ids.Session    `json:"s"`
-	Attempt ids.Attempt    `json:"a"`
-	Token   ids.Generation `json:"g"`
-	Tasks   ids.Ranges     `json:"t"`
+	Token ids.Generation `json:"g"`
+	On    []string       `json:"on"`
+}
+
+func (s spot) write(tasks *ids.Ranges) string {
+	return fmt.Sprintf("%s/%d/%d:%s", s.machine, s.session, s.attempt, tasks)
+}
+
+func readSpot(text string) (s spot, tasks ids.Ranges, err error) {
+	head, list, ok := strings.Cut(text, ":")
+	parts := strings.Split(head, "/")
+	if !ok || len(parts) != 3 {
+		return s, tasks, fmt.Errorf("not a place: %.80q", text)
+	}
+	session, err := strconv.ParseUint(parts[1], 10, 64)
+	if err != nil {
+		return s, tasks, err
+	}
+	attempt, err := strconv.ParseUint(parts[2], 10, 64)
+	if err != nil {
+		return s, tasks, err
+	}
+	s = spot{machine: ids.Machine(parts[0]), session: ids.Session(session), attempt: ids.Attempt(attempt)}
+	return s, tasks, tasks.UnmarshalText([]byte(list))
+}
+
+// eachPlace calls f for every task that may be on a machine.
+func (r *Record) eachPlace(f func(task int, at spot)) {
+	for _, pr := range r.Places {
+		for _, text := range pr.On {
+			s, tasks, err := readSpot(text)
+			if err != nil {
+				slog.Error("unreadable place", "job", r.Spec.ID, "err", err)
+				continue
+			}
+			s.token = pr.Token
+			tasks.Each(func(i int) { f(i, s) })
+		}
+	}
 }
 
 // Event is one line of a job's trail.
@@ -177,34 +226,33 @@
 // Open counts the tasks that may be on machines.
 func (r *Record) Open() int {
 	n := 0
-	for i := range r.Places {
-		n += r.Places[i].Tasks.Len()
-	}
+	r.eachPlace(func(int, spot) { n++ })
 	return n
 }
 
 // packPlaces groups places so that a large job's record stays small.
 func packPlaces(places map[int]*Place) []placeRec {
-	type key struct {
-		m ids.Machine
-		s ids.Session
-		a ids.Attempt
-		g ids.Generation
-	}
-	groups := map[key]*ids.Ranges{}
-	var order []key
+	groups := map[spot]*ids.Ranges{}
+	var order []spot
 	for _, i := range sortedTasks(places) {
 		p := places[i]
-		k := key{p.Machine, p.Session, p.Attempt, p.Token}
+		k := spot{p.Machine, p.Session, p.Attempt, p.Token}
 		if groups[k] == nil {
 			groups[k] = &ids.Ranges{}
 			order = append(order, k)
 		}
 		groups[k].Add(i)
 	}
-	out := make([]placeRec, 0, len(order))
+	var out []placeRec
+	at := map[ids.Generation]int{}
 	for _, k := range order {
-		out = append(out, placeRec{k.m, k.s, k.a, k.g, *groups[k]})
+		n, ok := at[k.token]
+		if !ok {
+			n = len(out)
+			at[k.token] = n
+			out = append(out, placeRec{Token: k.token})
+		}
+		out[n].On = append(out[n].On, k.write(groups[k]))
 	}
 	return out
 }
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/measure"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -16,6 +17,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
+	defer measure.Process.Took("report", now)
 	if b.returned[rep.Machine] {
 		return nil // held back on its way: the machine is gone
 	}
@@ -26,21 +28,35 @@
 	}
 	firstHeard := !m.Heard
 	hadNotice := !m.TakenAt.IsZero()
+	moved := m.Type != rep.Type || m.Zone != rep.Zone || m.Spot != rep.Spot
+	idle := m.Heard && !m.Usable(now, b.set.Params.Workers.ReportS)
 	v := b.roster.Note(m, rep, now, answered, b.gen)
 	if !v.Fresh {
 		return nil
 	}
+	h := b.hostOf(m.Name)
+	if firstHeard || moved || v.Moved {
+		b.shelve(h)
+		b.hinted(m)
+	}
+	if firstHeard || v.Moved {
+		b.due[h] = true // what was placed there before may go out now
+	}
+	if idle {
+		poke(b.wakePlan)
+	}
 	if firstHeard {
 		m.IdleSince = now
 		poke(b.wakePlan)
 	}
 	if !hadNotice && !m.TakenAt.IsZero() {
+		b.leaving[m.Name] = true
 		slog.Info("spot notice", "machine", m.Name, "in", m.TakenAt.Sub(now))
 		poke(b.wakePlan)
 	}
 	// Everything of an earlier session is gone, as the worker forgot it when
 	// its lease lapsed.
-	for p := range b.on[m.Name] {
+	for p := range b.placesOn(m.Name) {
 		if p.sent && p.Session < rep.Session {
 			b.vanish(p, "the worker's lease lapsed on "+string(m.Name))
 		}
@@ -68,7 +84,7 @@
 		}
 		orders = append(orders, b.stray(j, k, pc, m)...)
 	}
-	for p := range b.on[m.Name] {
+	for p := range b.placesOn(m.Name) {
 		if listed[taskAttempt{p.Task(), p.Attempt, m.Name}] || !p.sent || p.Session != rep.Session {
 			continue
 		}
@@ -100,7 +116,7 @@
 		return nil
 	}
 	var orders []worker.Order
-	for p := range b.on[m.Name] {
+	for p := range b.placesOn(m.Name) {
 		j := p.Job
 		switch {
 		case p.Session != m.Session:
@@ -132,6 +148,13 @@
 			"sincePlaced", now.Sub(p.since).Round(time.Millisecond))
 	}
 	p.seen, p.sent = true, true
+	h := b.hostOf(m.Name)
+	if pc.Status != worker.Pulling {
+		b.arrived(h, p)
+	}
+	if p.stopping && p.stopSent.Before(p.stopAt) {
+		b.due[h] = true
+	}
 	if p.status != pc.Status && pc.Status == worker.Running {
 		p.ranSince = now
 	}
@@ -141,7 +164,8 @@
 		if t := b.types[m.Type]; t != nil {
 			cache = t.CacheGB
 		}
-		m.Images.Use(s.Image, s.ImageGB, cache)
+		b.holdsNow(h, m, s.Image, s.ImageGB, cache)
+		b.hinted(m)
 	}
 	p.status = pc.Status
 }
@@ -187,6 +211,7 @@
 		}
 		if m.Faults >= int(b.set.Own.FaultyAfter) && m.Draining == "" {
 			m.Draining = "tasks keep failing there"
+			b.leaving[m.Name] = true
 			slog.Warn("machine drained", "machine", m.Name, "why", m.Draining)
 		}
 		r := b.backoff(j, i, now)
@@ -302,12 +327,19 @@
 func (b *Book) Lapses(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for name, ps := range b.on {
+	if now.Sub(b.lapsed) < 200*time.Millisecond {
+		return
+	}
+	b.lapsed = now
+	for name, h := range b.hosts {
+		if len(h.places) == 0 {
+			continue
+		}
 		m := b.roster.Ensure(name, now, b.trustSilence)
 		if now.Before(m.LapseAt) {
 			continue
 		}
-		for p := range ps {
+		for p := range h.places {
 			// A start sent after the last answer belongs to the same lapsed
 			// session, which turns it away from here on.
 			b.vanish(p, "the worker's lease lapsed on silent "+string(name))
@@ -320,10 +352,10 @@
 func (b *Book) MachineGone(name ids.Machine, why string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for p := range b.on[name] {
+	for p := range b.placesOn(name) {
 		b.vanish(p, why)
 	}
-	delete(b.roster.Machines, name)
+	b.cast(name)
 	if len(b.returned) > 20000 {
 		clear(b.returned) // late news of machines that old is not expected
 	}
--- a/internal/claim/spent.go
+++ b/internal/claim/spent.go
@@ -38,12 +38,12 @@
 		case !m.Heard:
 			s.boot += cost
 			continue
-		case len(b.on[name]) == 0:
+		case len(b.placesOn(name)) == 0:
 			s.idle += cost
 			continue
 		}
 		left := 1.0
-		for p := range b.on[name] {
+		for p := range b.placesOn(name) {
 			need := p.Job.Rec.Spec.Need
 			share := min(left, max(need.Cores/max(t.Cores, 1e-9), need.RAM/max(t.RAM, 1e-9), need.Accels/max(t.Accels, 1e-9)*b2f(t.Accels > 0)))
 			left -= share
--- a/internal/claim/stories_test.go
+++ b/internal/claim/stories_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/fake"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 )
@@ -370,24 +371,32 @@
 	})
 }
 
+// hinted counts the machines that a node, if it owns the pool, has heard.
+func hinted(n *node) int {
+	if n.pool.Book() == nil {
+		return 0
+	}
+	hs, _ := n.pool.Book().Hints(claim.HintMark{})
+	return len(hs)
+}
+
 func TestANewOwnerAsksMachinesBeforeTheirWorkersFindIt(t *testing.T) {
 	story(t, func(t *testing.T, w *world) {
 		a := w.start("a")
 		b := w.start("b")
 		w.worker("m1", "north")
 		w.until(12*time.Second, "heard", func() bool {
-			o := a.pool.Book()
-			return o != nil && len(o.Hints()) == 1 || b.pool.Book() != nil && len(b.pool.Book().Hints()) == 1
+			return hinted(a) == 1 || hinted(b) == 1
 		})
 		first, second := a, b
 		if a.pool.Book() == nil {
 			first, second = b, a
 		}
-		second.pool.Hear(first.pool.Book().Hints())
+		second.pool.Hear(first.pool.Book().Hints(second.pool.Heard()))
 		w.worn("m1").SetSilent(true) // so that only being asked tells of it
 		first.kill()
 		w.until(5*time.Second, "a successor", func() bool { return second.pool.Book() != nil })
-		w.until(2*time.Second, "m1 is known", func() bool { return len(second.pool.Book().Hints()) == 1 })
+		w.until(2*time.Second, "m1 is known", func() bool { return hinted(second) == 1 })
 	})
 }
 
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -115,7 +115,7 @@
 		t.Book.SetTypes(types())
 		<-ctx.Done()
 	}
-	n.desk = &intake.Desk{Set: set, State: st, Teller: n, Writer: writer, Types: types}
+	n.desk = &intake.Desk{Set: set, State: st, Jobs: n.pool.Jobs(), Teller: n, Writer: writer, Types: types}
 	w.net.Listen(name+":8080", (&intake.Site{Desk: n.desk, Beats: n.pool, Ready: func() bool { return true },
 		Live:   func(context.Context, ids.Job) ([]string, ids.Node, error) { return nil, "", nil },
 		Status: func() any { return nil }}).Handler())
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -10,12 +10,14 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"golang.org/x/time/rate"
 
 	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/measure"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
 )
 
@@ -51,6 +53,8 @@
 	if err := c.tokens.Wait(ctx); err != nil {
 		return fmt.Errorf("%w: own budget", ErrTrouble)
 	}
+	purpose, _, _ := strings.Cut(path, "?")
+	measure.Process.Count("cloud "+method+" "+purpose, 1)
 	var body io.Reader
 	if in != nil {
 		raw, err := json.Marshal(in)
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -41,6 +41,7 @@
 	listed  time.Time
 	typed   time.Time
 	seq     int
+	emptied time.Time // when a machine to empty was last looked for
 }
 
 // Adopt takes over the intents a predecessor left behind: sending them again
@@ -118,6 +119,10 @@
 // nothing hired for it, and lets it be emptied.
 func (k *Keeper) consolidate() {
 	now := time.Now()
+	if now.Sub(k.emptied) < 1500*time.Millisecond {
+		return // each look weighs the whole fleet anew
+	}
+	k.emptied = now
 	for _, e := range k.Book.Emptiables(now) {
 		ds, ups, types := k.Book.Needs(now)
 		rest := ups[:0]
--- a/internal/ids/ranges.go
+++ b/internal/ids/ranges.go
@@ -11,7 +11,10 @@
 
 // Ranges is a set of task indexes kept as spans, so that a job of a hundred
 // thousand tasks stays small in memory and in its record.
-type Ranges struct{ spans []span }
+type Ranges struct {
+	spans []span
+	n     int
+}
 
 // Add puts i into the set and tells whether it was new.
 func (r *Ranges) Add(i int) bool {
@@ -19,6 +22,7 @@
 	if k < len(r.spans) && r.spans[k].lo <= i {
 		return false
 	}
+	r.n++
 	joinLeft := k > 0 && r.spans[k-1].hi == i-1
 	joinRight := k < len(r.spans) && r.spans[k].lo == i+1
 	switch {
@@ -44,13 +48,7 @@
 }
 
 // Len counts the members.
-func (r *Ranges) Len() int {
-	n := 0
-	for _, s := range r.spans {
-		n += s.hi - s.lo + 1
-	}
-	return n
-}
+func (r *Ranges) Len() int { return r.n }
 
 // NextMissing is the smallest index at or above i that is not in the set.
 func (r *Ranges) NextMissing(i int) int {
@@ -91,7 +89,7 @@
 
 // UnmarshalText reads what MarshalText writes.
 func (r *Ranges) UnmarshalText(b []byte) error {
-	r.spans = nil
+	r.spans, r.n = nil, 0
 	if len(b) == 0 {
 		return nil
 	}
@@ -108,7 +106,7 @@
 		if err != nil || hi < lo {
 			return fmt.Errorf("range %q is not one", part)
 		}
-		r.spans = append(r.spans, span{lo, hi})
+		r.spans, r.n = append(r.spans, span{lo, hi}), r.n+hi-lo+1
 	}
 	return nil
 }
--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -34,6 +34,7 @@
 type Desk struct {
 	Set    *config.Settings
 	State  *state.Client
+	Jobs   *state.Mirror // the live records
 	Teller Teller
 	Writer string
 	// Types is the cloud's offer; empty while it is not known.
@@ -44,8 +45,6 @@
 	q    []ids.Job
 }
 
-const keepAnswers = 4096
-
 func (d *Desk) remember(r *claim.Record) {
 	a := tell(r)
 	d.mu.Lock()
@@ -73,30 +72,43 @@
 	return answer{}, false
 }
 
-// read fetches a job's record, begun after the request; nil when there is
-// none. The live record comes first: a job that ends in between has its final
-// record before its live one is gone.
+// read fetches a job's record as it was after the request began; nil when there
+// was none. Live records are read from the node's copy, brought up to date once
+// for all requests that wait; only those that are not among them cost a call
+// each. A job that ends in between has its final record before its live one is
+// gone, so looking for the live one first misses nothing.
 func (d *Desk) read(ctx context.Context, id ids.Job, u state.Urgency) (*claim.Record, state.Entry, error) {
-	for _, key := range []string{claim.JobKey(id), claim.EndKey(id)} {
-		e, found, err := d.State.Get(ctx, key, u)
-		if err != nil {
+	if err := d.Jobs.Sync(ctx); err != nil {
+		return nil, state.Entry{}, fmt.Errorf("%w: %v", errNotNow, err)
+	}
+	e, found, ready := d.Jobs.Get(claim.JobKey(id))
+	if !ready {
+		return nil, e, errNotNow
+	}
+	if !found {
+		var err error
+		if e, found, err = d.State.Get(ctx, claim.EndKey(id), u); err != nil {
 			return nil, e, fmt.Errorf("%w: %v", errNotNow, err)
 		}
-		if found {
-			r, err := claim.Decode(e.Value)
-			if err != nil {
-				slog.Error("unreadable record", "key", key, "err", err)
-				return nil, e, errNotNow
-			}
-			if r.Status.Over() {
-				d.remember(r)
-			}
-			return r, e, nil
+		if !found {
+			return nil, e, nil
 		}
 	}
-	return nil, state.Entry{}, nil
+	r, err := claim.Decode(e.Value)
+	if err != nil {
+		slog.Error("unreadable record", "key", e.Key, "err", err)
+		return nil, e, errNotNow
+	}
+	if r.Status.Over() {
+		d.remember(r)
+	}
+	return r, e, nil
 }
 
+// keepAnswers is how many final answers a node remembers: users ask on for a
+// while after a job's end.
+const keepAnswers = 20000
+
 // Submit accepts a job or finds it known.
 func (d *Desk) Submit(ctx context.Context, spec claim.Spec) (a answer, known bool, err error) {
 	if a, ok := d.remembered(spec.ID); ok {
--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -16,6 +16,7 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/measure"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -79,6 +80,7 @@
 
 // later answers at once that this can't be done now, and when to come back.
 func (s *Site) later(c echo.Context) error {
+	measure.Process.Count("users told to come back", 1)
 	after := s.Desk.State.Budget().RetryAfter()
 	c.Response().Header().Set("Retry-After", retryAfter(after))
 	return c.JSON(503, map[string]string{"error": "not now"})
@@ -107,7 +109,9 @@
 	if err != nil {
 		return c.JSON(400, map[string]string{"error": err.Error()})
 	}
+	began := time.Now()
 	a, known, err := s.Desk.Submit(ctx, spec)
+	measure.Process.Took("submission", began)
 	if err != nil {
 		return s.fail(c, err)
 	}
@@ -136,6 +140,7 @@
 
 func (s *Site) look(c echo.Context) error {
 	return s.one(c, 1800*time.Millisecond, func(ctx context.Context, id ids.Job) (any, bool, error) {
+		defer measure.Process.Took("poll", time.Now())
 		return wrap(s.Desk.Look(ctx, id))
 	})
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -71,7 +71,8 @@
 	set := &config.Settings{Own: config.Defaults()}
 	set.Params.State = config.State{RPS: 500, WriteRPS: 500, ValueKB: 8, TxnOps: 12}
 	set.Params.Teams = []config.Team{{Name: "red", CPUsMax: 8}}
-	d := &Desk{Set: set, State: state.NewClient("state:1", n.Client("a"), state.NewBudget(500, 500, 1, 0.6)), Teller: mute{}, Writer: "a",
+	st := state.NewClient("state:1", n.Client("a"), state.NewBudget(500, 500, 1, 0.6))
+	d := &Desk{Set: set, State: st, Jobs: state.NewMirror(st, claim.JobPrefix, time.Second), Teller: mute{}, Writer: "a",
 		Types: func() []placement.Type {
 			return []placement.Type{{Label: "small", Cores: 4, RAM: 16, Zones: []string{"north"}}}
 		}}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -42,7 +42,10 @@
 	Node    ids.Node
 	StateOK bool
 	Owner   bool
-	Hints   []claim.Hint // from the owner only
+	// Have is how far in the owner's hints this node is; the owner answers with
+	// what came since and how far that goes.
+	Have  claim.HintMark
+	Hints []claim.Hint
 	// Stranded are workers that come back from being sent to the owner.
 	Stranded []ids.Machine
 }
@@ -86,7 +89,7 @@
 // Greet exchanges how the nodes fare.
 func (s *Service) Greet(h *Hello, out *Hello) error {
 	s.link.note(h)
-	*out = s.link.hello()
+	*out = s.link.hello(&h.Have)
 	return nil
 }
 
@@ -260,13 +263,18 @@
 	return out.Lines, owner, err
 }
 
-func (l *Link) hello() Hello {
+// hello tells how this node fares; to a node that said how far in the hints it
+// is, the owner tells what came since.
+func (l *Link) hello(to *claim.HintMark) Hello {
 	age, ok := l.state.SinceGood()
 	h := Hello{Node: l.set.HostName, StateOK: ok && age < 3*time.Second}
 	if b := l.pool.Book(); b != nil {
-		h.Owner, h.Hints = true, b.Hints()
+		h.Owner = true
+		if to != nil {
+			h.Hints, h.Have = b.Hints(*to)
+		}
 	} else {
-		h.Stranded = l.pool.Stranded()
+		h.Stranded, h.Have = l.pool.Stranded(), l.pool.Heard()
 	}
 	return h
 }
@@ -275,9 +283,6 @@
 	l.mu.Lock()
 	l.seen[h.Node] = seen{time.Now(), h.StateOK}
 	l.mu.Unlock()
-	if h.Owner {
-		l.pool.Hear(h.Hints)
-	}
 	// Giving up to a node that is not served itself would help nobody.
 	if h.StateOK {
 		l.pool.Reconsider(h.Stranded)
@@ -302,10 +307,13 @@
 	for _, o := range l.set.Others {
 		go func() {
 			for ctx.Err() == nil {
-				h := l.hello()
+				h := l.hello(nil)
 				var out Hello
 				if err := l.call(ctx, o.HostName, "Greet", &h, &out); err == nil {
 					l.note(&out)
+					if out.Owner {
+						l.pool.Hear(out.Hints, out.Have)
+					}
 				}
 				select {
 				case <-ctx.Done():
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,7 +3,6 @@
 package placement
 
 import (
-	"math/rand/v2"
 	"slices"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
@@ -103,40 +102,6 @@
 	Going bool // to be returned once empty; dear ones still take work with accelerators
 }
 
-// Zoner tells whether one more task of the job may go to a zone.
-type Zoner func(zone string) bool
-
-// Pick returns the index of the best fit among sampled machines, or -1. A miss
-// widens the sample to all machines; so does a sample in which no machine that
-// fits has the image, since a fetch costs more than a longer look.
-func Pick(rng *rand.Rand, ms []Machine, a *Ask, zone Zoner, sample int) int {
-	if len(ms) == 0 {
-		return -1
-	}
-	best, bestScore := -1, 0.0
-	look := func(i int) {
-		m := &ms[i]
-		if m.Held || m.Going && (a.Need.Accels == 0 || m.Type.Accels == 0) || !a.Allows(m.Type.Label, m.Zone, m.Spot) || !m.Free.Holds(a.Need) || zone != nil && !zone(m.Zone) {
-			return
-		}
-		if s := Score(m, a); best < 0 || s < bestScore {
-			best, bestScore = i, s
-		}
-	}
-	if sample < len(ms) {
-		for range sample {
-			look(rng.IntN(len(ms)))
-		}
-		if best >= 0 && ms[best].Warm && !ms[best].Avoid {
-			return best
-		}
-	}
-	for i := range ms {
-		look(i)
-	}
-	return best
-}
-
 // Score is the price of a choice in rough seconds; less is better. Fetching
 // counts as the time it takes; leftover room as fragmentation; a machine with
 // accelerators or an ordinary one is kept for those that need it.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,52 +1,37 @@
 package placement
 
 import (
-	"math/rand/v2"
 	"testing"
+
+	"github.com/pebbletrail/pebbletrail/internal/ids"
 )
 
 var small = &Type{Label: "small", Cores: 4, RAM: 16, PullGBPerS: 0.25, Price: 1, SpotPrice: 0.4, Zones: []string{"n", "s"}, BootS: 30}
 var big = &Type{Label: "big", Cores: 64, Accels: 8, RAM: 256, PullGBPerS: 0.25, Price: 24, SpotPrice: 10, Zones: []string{"n"}, BootS: 30}
 
-func rng() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
-
-func TestAMissWidensTheSampleToAll(t *testing.T) {
-	ms := make([]Machine, 60)
-	for i := range ms {
-		ms[i] = Machine{Name: "full", Type: small, Zone: "n"}
-	}
-	ms[41].Free = small.Room()
-	a := &Ask{Need: Room{Cores: 1, RAM: 1}, Image: "i", ImageGB: 1}
-	for range 20 {
-		if at := Pick(rng(), ms, a, nil, 2); at != 41 {
-			t.Fatalf("picked %d, not the only one with room", at)
-		}
-	}
-	ms[7].Free, ms[7].Warm = small.Room(), true
-	if at := Pick(rng(), ms, a, nil, 2); at != 7 {
-		t.Fatalf("picked %d, not the one that holds the image", at)
-	}
-	ms[7].Held = true
-	if at := Pick(rng(), ms, a, nil, 2); at != 41 {
-		t.Fatalf("picked %d although its room is held for another", at)
-	}
-	a.Zone = "s"
-	if at := Pick(rng(), ms, a, nil, 2); at != -1 {
-		t.Fatalf("picked %d in a zone not allowed", at)
-	}
-}
-
 func TestBestFitKeepsAcceleratorsAndOrdinaryMachinesFree(t *testing.T) {
 	ms := []Machine{{Name: "g", Type: big, Zone: "n", Free: big.Room()}, {Name: "o", Type: small, Zone: "n", Free: small.Room()},
 		{Name: "s", Type: small, Zone: "n", Spot: true, Free: small.Room()}}
-	if at := Pick(rng(), ms, &Ask{Need: Room{Cores: 4, RAM: 4}, Spot: true}, nil, 5); ms[at].Name != "s" {
-		t.Errorf("spot work went to %s", ms[at].Name)
+	best := func(a Ask) ids.Machine {
+		var name ids.Machine
+		least := 0.0
+		for i := range ms {
+			if m := &ms[i]; a.Allows(m.Type.Label, m.Zone, m.Spot) && m.Free.Holds(a.Need) {
+				if s := Score(m, &a); name == "" || s < least {
+					name, least = m.Name, s
+				}
+			}
+		}
+		return name
+	}
+	if at := best(Ask{Need: Room{Cores: 4, RAM: 4}, Spot: true}); at != "s" {
+		t.Errorf("spot work went to %s", at)
 	}
-	if at := Pick(rng(), ms, &Ask{Need: Room{Cores: 4, RAM: 4}}, nil, 5); ms[at].Name != "o" {
-		t.Errorf("ordinary work went to %s", ms[at].Name)
+	if at := best(Ask{Need: Room{Cores: 4, RAM: 4}}); at != "o" {
+		t.Errorf("ordinary work went to %s", at)
 	}
-	if at := Pick(rng(), ms, &Ask{Need: Room{Cores: 4, Accels: 1, RAM: 4}, Spot: true}, nil, 5); ms[at].Name != "g" {
-		t.Errorf("accelerated work went to %s", ms[at].Name)
+	if at := best(Ask{Need: Room{Cores: 4, Accels: 1, RAM: 4}, Spot: true}); at != "g" {
+		t.Errorf("accelerated work went to %s", at)
 	}
 }
 
--- a/internal/placement/rent.go
+++ b/internal/placement/rent.go
@@ -1,6 +1,11 @@
 package placement
 
-import "github.com/pebbletrail/pebbletrail/internal/ids"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+)
 
 // Demand is room that is wanted: for tasks that wait, or kept free for work
 // that must start sooner than a machine boots.
@@ -135,12 +140,13 @@
 
 func (r Room) positive() Room { return Room{max(r.Cores, 0), max(r.Accels, 0), max(r.RAM, 0)} }
 
+// sortBy is stable, so that decisions do not hang on chance.
 func sortBy(order []int, key func(int) float64) {
-	for i := 1; i < len(order); i++ {
-		for k := i; k > 0 && key(order[k]) < key(order[k-1]); k-- {
-			order[k], order[k-1] = order[k-1], order[k]
-		}
+	keys := make(map[int]float64, len(order))
+	for _, i := range order {
+		keys[i] = key(i)
 	}
+	slices.SortStableFunc(order, func(x, y int) int { return cmp.Compare(keys[x], keys[y]) })
 }
 
 // cheapest finds the offer with the lowest price per task it would take.
--- a/internal/state/budget.go
+++ b/internal/state/budget.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/pebbletrail/pebbletrail/internal/measure"
 )
 
 // Urgency orders calls when there are more than the limits allow.
@@ -35,9 +37,12 @@
 	calls     *rate.Limiter
 	writes    *rate.Limiter
 	rps, wps  float64
-	own, rest float64
+	own, rest share
 }
 
+// share is a controller's part of the calls and of the changes.
+type share struct{ calls, writes float64 }
+
 // headroom leaves a little of the limits unused: clocks drift, and a takeover
 // briefly makes two owners.
 const headroom = 0.92
@@ -45,30 +50,36 @@
 // NewBudget splits the limits among n controllers, of which the pool's owner
 // gets ownerShare.
 func NewBudget(rps, wps float64, n int, ownerShare float64) *Budget {
-	b := &Budget{rps: rps * headroom, wps: wps * headroom, own: 1, rest: 1}
+	b := &Budget{rps: rps * headroom, wps: wps * headroom, own: share{1, 1}, rest: share{1, 1}}
 	if n > 1 {
-		b.own, b.rest = ownerShare, (1-ownerShare)/float64(n-1)
+		// The owner makes most changes, in few calls; users' polls cost all
+		// nodes alike.
+		calls := ownerShare * 2 / 3
+		b.own = share{calls, ownerShare}
+		b.rest = share{(1 - calls) / float64(n-1), (1 - ownerShare) / float64(n-1)}
 	}
 	// Buckets begin full: the limits allow bursts of a second's worth.
-	b.calls = rate.NewLimiter(rate.Limit(b.rps*b.rest), max(4, int(b.rps*b.rest)))
-	b.writes = rate.NewLimiter(rate.Limit(b.wps*b.rest), max(4, int(b.wps*b.rest)))
+	b.calls = rate.NewLimiter(rate.Limit(b.rps*b.rest.calls), burst(b.rps*b.rest.calls))
+	b.writes = rate.NewLimiter(rate.Limit(b.wps*b.rest.writes), burst(b.wps*b.rest.writes))
 	return b
 }
 
+func burst(perSecond float64) int { return max(4, int(perSecond)) }
+
 // SetOwner changes to the owner's part or back.
 func (b *Budget) SetOwner(owner bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	share := b.rest
+	part := b.rest
 	if owner {
-		share = b.own
+		part = b.own
 	}
 	set := func(l *rate.Limiter, v float64) {
-		l.SetLimit(rate.Limit(v * share))
-		l.SetBurst(max(4, int(v*share)))
+		l.SetLimit(rate.Limit(v))
+		l.SetBurst(burst(v))
 	}
-	set(b.calls, b.rps)
-	set(b.writes, b.wps)
+	set(b.calls, b.rps*part.calls)
+	set(b.writes, b.wps*part.writes)
 }
 
 // WriteBurst is the most changes one transaction may carry now.
@@ -94,6 +105,7 @@
 		}
 		b.mu.Unlock()
 		if time.Now().Add(wait).After(deadline) {
+			measure.Process.Count("refused for lack of tokens", 1)
 			return fmt.Errorf("%w: own budget", ErrRefused)
 		}
 		select {
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/measure"
 )
 
 // What a call can come to besides success.
@@ -131,6 +132,9 @@
 func (c *Client) do(ctx context.Context, timeout time.Duration, method, path string, body, out any) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	purpose, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "?")
+	purpose, _, _ = strings.Cut(purpose, "/")
+	measure.Process.Count("state "+method+" "+purpose, 1)
 	var rd io.Reader
 	if body != nil {
 		raw, err := json.Marshal(body)
@@ -188,6 +192,24 @@
 	return e, err == nil && code == 200, err
 }
 
+// absent is a key that nobody writes: reading it tells the store's epoch.
+const absent = "none"
+
+// Epoch is how far the store is.
+func (c *Client) Epoch(ctx context.Context) (ids.Epoch, error) {
+	if err := c.budget.take(ctx, Normal, 0); err != nil {
+		return 0, err
+	}
+	var out struct {
+		Epoch ids.Epoch `json:"epoch"`
+	}
+	code, err := c.do(ctx, CallTimeout, "GET", "/kv/"+absent, nil, &out)
+	if err == nil && code != 404 {
+		err = fmt.Errorf("%w: status %d", ErrUnknown, code)
+	}
+	return out.Epoch, err
+}
+
 // List reads a page of the keys below a prefix, in order.
 func (c *Client) List(ctx context.Context, under, after string, most int, u Urgency) (es []Entry, more bool, at ids.Epoch, err error) {
 	if err := c.budget.take(ctx, u, 0); err != nil {
--- a/internal/state/mirror.go
+++ b/internal/state/mirror.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
+	"sort"
 	"sync"
 	"time"
 
@@ -18,10 +20,22 @@
 	// OnChange is told each change in order, outside the mirror's lock.
 	OnChange func(Change)
 
+	// order keeps changes told in the order in which they were applied.
+	order sync.Mutex
+
 	mu      sync.Mutex
 	entries map[string]Entry
 	epoch   ids.Epoch
 	ready   bool
+	next    *round // the round that whoever asks now has to wait for
+	turning bool
+	turned  time.Time // when the last round began
+}
+
+// round is one call that brings the copy up to date for all who waited.
+type round struct {
+	done chan struct{}
+	err  error
 }
 
 // NewMirror makes a mirror; pause spaces its calls, so that a busy prefix does
@@ -30,6 +44,95 @@
 	return &Mirror{c: c, prefix: prefix, pause: pause, entries: map[string]Entry{}}
 }
 
+// syncEvery spaces the rounds: hundreds of polls a second cost a few calls.
+const syncEvery = 250 * time.Millisecond
+
+// Sync returns once the copy is no older than the store was when Sync was
+// called. One call to the store, begun after all of them, serves everybody who
+// waits; the copy may be read as if from the store then.
+func (m *Mirror) Sync(ctx context.Context) error {
+	m.mu.Lock()
+	r := m.next
+	if r == nil {
+		r = &round{done: make(chan struct{})}
+		m.next = r
+	}
+	if !m.turning {
+		m.turning = true
+		go m.turn()
+	}
+	m.mu.Unlock()
+	select {
+	case <-r.done:
+		return r.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// turn does rounds while anybody waits. It has a context of its own: a round
+// serves many, and must not end with the one who asked first.
+func (m *Mirror) turn() {
+	for {
+		m.mu.Lock()
+		if m.next == nil {
+			m.turning = false
+			m.mu.Unlock()
+			return
+		}
+		pace := syncEvery - time.Since(m.turned)
+		m.mu.Unlock()
+		time.Sleep(pace)
+		m.mu.Lock()
+		r := m.next
+		m.next, m.turned = nil, time.Now()
+		m.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), 2*CallTimeout)
+		r.err = m.catchUp(ctx)
+		cancel()
+		close(r.done)
+	}
+}
+
+// catchUp reads what changed up to now, or all anew if it must.
+func (m *Mirror) catchUp(ctx context.Context) error {
+	m.mu.Lock()
+	after, ready := m.epoch, m.ready
+	m.mu.Unlock()
+	if !ready {
+		return m.list(ctx)
+	}
+	// A watch may end well in the middle of an outage, or while this node alone
+	// is refused: how far the store is, only a plain read tells.
+	now, err := m.c.Epoch(ctx)
+	if err != nil || now <= after {
+		return err
+	}
+	epoch, news, err := m.c.Follow(ctx, m.prefix, after, 0)
+	switch {
+	case errors.Is(err, ErrTooOld):
+		return m.list(ctx)
+	case err != nil:
+		return err
+	case epoch < now:
+		return fmt.Errorf("%w: news only up to %d of %d", ErrRefused, epoch, now)
+	}
+	m.apply(epoch, news)
+	return nil
+}
+
+// All lists the copy in order.
+func (m *Mirror) All() ([]Entry, ids.Epoch) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	es := make([]Entry, 0, len(m.entries))
+	for _, e := range m.entries {
+		es = append(es, e)
+	}
+	sort.Slice(es, func(x, y int) bool { return es[x].Key < es[y].Key })
+	return es, m.epoch
+}
+
 // Get reads the copy; ready is false until the first listing is in.
 func (m *Mirror) Get(key string) (e Entry, found, ready bool) {
 	m.mu.Lock()
@@ -82,7 +185,13 @@
 	}
 	fresh := make(map[string]Entry, len(es))
 	var news []Change
+	m.order.Lock()
+	defer m.order.Unlock()
 	m.mu.Lock()
+	if m.ready && epoch < m.epoch {
+		m.mu.Unlock()
+		return nil // what was followed meanwhile is newer
+	}
 	for _, e := range es {
 		fresh[e.Key] = e
 		if m.entries[e.Key].Stamp != e.Stamp {
@@ -100,9 +209,18 @@
 	return nil
 }
 
+// apply takes in what changed up to an epoch. Answers may overtake one another,
+// so what the copy has already is passed over.
 func (m *Mirror) apply(epoch ids.Epoch, news []Change) {
+	m.order.Lock()
+	defer m.order.Unlock()
+	fresh := news[:0]
 	m.mu.Lock()
 	for _, n := range news {
+		if ids.Epoch(n.Stamp) <= m.epoch || n.Stamp <= m.entries[n.Key()].Stamp {
+			continue
+		}
+		fresh = append(fresh, n)
 		if n.Put != "" {
 			m.entries[n.Put] = Entry{Key: n.Put, Value: n.Value, Stamp: n.Stamp}
 		} else {
@@ -113,7 +231,7 @@
 		m.epoch = epoch
 	}
 	m.mu.Unlock()
-	m.tell(news)
+	m.tell(fresh)
 }
 
 func (m *Mirror) tell(news []Change) {
--- a/internal/worker/commander.go
+++ b/internal/worker/commander.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/measure"
 )
 
 // Outcome of direct commands.
@@ -37,6 +38,7 @@
 func (c *Commander) Send(ctx context.Context, addr string, token ids.Generation, s ids.Session, orders []Order) (Outcome, *Report) {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
+	measure.Process.Count("commands sent", 1)
 	if orders == nil {
 		orders = []Order{} // a list, if an empty one, whoever reads it
 	}
@@ -80,6 +82,7 @@
 func (c *Commander) Show(ctx context.Context, addr string, timeout time.Duration) *Report {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	measure.Process.Count("machines asked", 1)
 	req, err := http.NewRequestWithContext(ctx, "GET", "http://"+addr+"/show", nil)
 	if err != nil {
 		return nil
--- a/internal/worker/roster.go
+++ b/internal/worker/roster.go
@@ -51,6 +51,8 @@
 	Faults    int
 	Lates     []Late
 	Images    Images
+	Hinted    ids.Session // as an earlier owner knew it
+	HintSeq   uint64      // when what the other controllers should know last changed
 }
 
 // Roster is all machines by name.
