Users' changes apart from the owner's, unused parts lent; unreachable machines replaced

Cause: 503s to submissions came from the owner's node alone after the first minute (measures: refused for lack of tokens), whose bucket its own settlements had emptied. Ruled out: calls (polls are one read for many), slow commits.

Change: every node has a part of the changes for its users; the owner has one of its own beside it, and uses none of theirs. What a node does not use it promises to one that runs short, for two seconds counted from before it was asked. Outcomes of unfinished jobs are stored every 4 s instead of 1.5.

--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -416,3 +416,62 @@
 		t.Fatalf("placed %+v, not where its image is", p)
 	}
 }
+
+func TestAMachineThatReportsButCannotBeReachedIsReplaced(t *testing.T) {
+	// Guards against a cut of one direction: its beats come in, so that it looks
+	// well, but no start and no answer ever reaches it.
+	now := time.Now()
+	b := testBook()
+	for i := range 6 {
+		b.hear(ids.Machine(fmt.Sprint("m", i)), "north", 1)
+	}
+	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 1, 1), now)
+	b.Plan(now)
+	for _, j := range b.jobs {
+		j.saved = j.version
+	}
+	bas := b.batches()
+	if len(bas) != 1 {
+		t.Fatalf("%d batches for one task", len(bas))
+	}
+	at := bas[0].machine
+	b.answered(bas[0], worker.Uncertain)
+	b.hear(at, "north", 2)
+	b.Learn("job-2", 2, rec("job-2", "blue", Normal, 12, 1), now)
+	b.Plan(now)
+	if n := len(b.placesOn(at)); n != 1 {
+		t.Fatalf("%d tasks on a machine that does not answer, not only the uncertain one", n)
+	}
+	m := b.roster.Machines[at]
+	for tick := ids.Tick(3); tick < 6; tick++ {
+		b.probed(at, false)
+		for i := range 6 {
+			b.hear(ids.Machine(fmt.Sprint("m", i)), "north", tick) // its own beats, too
+		}
+	}
+	m.Unreached, m.Doubted = now.Add(-10*time.Second), now.Add(-10*time.Second)
+	if p := b.jobs["job-1"].places[0]; p == nil || p.Machine != at {
+		t.Fatal("the uncertain start was given up without evidence")
+	}
+	if gone := b.Returns(time.Now(), map[ids.Machine]bool{}); len(gone) != 1 || gone[0] != at {
+		t.Fatalf("returned %v, not %s alone", gone, at)
+	}
+	b.MachineGone(at, "returned") // the cloud's word is the evidence
+	b.Plan(now)
+	if p := b.jobs["job-1"].places[0]; p == nil || p.Machine == at {
+		t.Fatal("the job does not go on elsewhere")
+	}
+	// One answered question makes a machine whole again.
+	other := ids.Machine("m0")
+	if at == other {
+		other = "m1"
+	}
+	b.probed(other, false)
+	if b.roster.Machines[other].Usable(now, 2) {
+		t.Error("a machine that left a question unanswered takes work")
+	}
+	b.probed(other, true)
+	if !b.roster.Machines[other].Usable(now, 2) {
+		t.Error("a machine that answers again takes no work")
+	}
+}
--- a/internal/claim/commit.go
+++ b/internal/claim/commit.go
@@ -130,7 +130,7 @@
 // before they are stored. Nothing is lost by that: until stored they are not
 // cleared, so the next owner would learn them from the workers again; and what
 // others wait for, markers and ends, is never kept waiting.
-const settleEvery = 1500 * time.Millisecond
+const settleEvery = 4 * time.Second
 
 // collect picks changed jobs, most urgent first, within the limits of one
 // transaction.
--- a/internal/claim/dispatch.go
+++ b/internal/claim/dispatch.go
@@ -72,15 +72,16 @@
 
 // answered settles what became of a batch.
 func (b *Book) answered(ba batch, how worker.Outcome) {
-	if how == worker.Uncertain {
-		return // outstanding until shown, or turned away by session or token
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	m := b.roster.Machines[ba.machine]
 	if m == nil {
 		return
 	}
+	m.Reached(how == worker.Carried || how == worker.Refused, time.Now())
+	if how == worker.Uncertain {
+		return // outstanding until shown, or turned away by session or token
+	}
 	kept := m.Lates[:0]
 	for _, l := range m.Lates {
 		ours := l.Session == ba.session && l.Token == ba.token
@@ -201,7 +202,7 @@
 		if m.Deleting || m.Probing || m.Addr == "" {
 			continue
 		}
-		if m.Heard && m.Silent(now) > overdue && now.Sub(m.Asked) > overdue/2 || !m.Heard && !m.Booting && now.Sub(m.Asked) > time.Second {
+		if m.Heard && (m.Silent(now) > overdue || !m.Unreached.IsZero()) && now.Sub(m.Asked) > overdue/2 || !m.Heard && !m.Booting && now.Sub(m.Asked) > time.Second {
 			m.Probing, m.Asked = true, now
 			b.probing++
 			if m.Probes == 0 {
@@ -223,6 +224,7 @@
 	b.probing--
 	if m := b.roster.Machines[name]; m != nil {
 		m.Probing = false
+		m.Reached(answered, time.Now())
 		if !answered {
 			m.Probes++
 		}
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -400,6 +400,8 @@
 		return "its work was moved together with other work"
 	case m.Heard && (m.Silent(now) > silentAfter || m.Probes >= 2 && m.Silent(now) > b.silentFor()) && si.alone(m):
 		return "silent"
+	case m.Heard && m.Failures >= 3 && now.Sub(m.Unreached) > b.silentFor() && si.alone(m):
+		return "nothing reaches it"
 	case !m.Heard && m.Booting && t != nil && now.Sub(m.HeldSince) > time.Duration(b.set.Own.StuckBootFactor*float64(t.BootS.Duration())):
 		return "it does not come up"
 	case !m.Heard && !m.Booting && si.alone(m) && (now.Sub(m.Born) > 2*silentAfter || !empty && (m.Probes >= 4 || m.Addr == "" && now.Sub(m.Born) > silentAfter)):
@@ -434,9 +436,9 @@
 		}
 		si.all++
 		switch {
-		case o.Heard && o.Probes == 0:
+		case o.Heard && o.Probes == 0 && o.Unreached.IsZero():
 			si.seen = append(si.seen, o.Seen)
-		case o.Probes > 0:
+		default:
 			si.silent++
 		}
 	}
--- a/internal/claim/stories_test.go
+++ b/internal/claim/stories_test.go
@@ -77,7 +77,7 @@
 		w.start("a")
 		w.worker("m1", "north")
 		w.worker("m2", "south")
-		time.Sleep(10 * time.Second)
+		time.Sleep(10300 * time.Millisecond) // between beats: the start goes straight to the worker
 		w.net.SetRule(func(from, to string, r *http.Request, body []byte) fake.Fate {
 			if r.URL.Path == "/commands" && strings.Contains(string(body), `"start"`) {
 				return fake.Hold
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -46,6 +46,9 @@
 	// what came since and how far that goes.
 	Have  claim.HintMark
 	Hints []claim.Hint
+	// Want asks for changes of the state service that the other does not use,
+	// per second; Lent answers.
+	Want, Lent float64
 	// Stranded are workers that come back from being sent to the owner.
 	Stranded []ids.Machine
 }
@@ -90,6 +93,7 @@
 func (s *Service) Greet(h *Hello, out *Hello) error {
 	s.link.note(h)
 	*out = s.link.hello(&h.Have)
+	out.Lent = s.link.state.Budget().Lend(h.Want)
 	return nil
 }
 
@@ -104,6 +108,9 @@
 	mu    sync.Mutex
 	conns map[ids.Node]*rpc.Client
 	seen  map[ids.Node]seen
+	// What was last asked of each of the others, and when.
+	want   float64
+	wanted time.Time
 }
 
 type seen struct {
@@ -302,15 +309,29 @@
 	return false
 }
 
+// wants is what to ask of each of the others, looked at once a second.
+func (l *Link) wants() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Since(l.wanted) > 900*time.Millisecond {
+		l.wanted = time.Now()
+		l.want = 2 * l.state.Budget().Wants() / float64(len(l.set.Others))
+	}
+	return l.want
+}
+
 // Run greets the others until the context ends.
 func (l *Link) Run(ctx context.Context) {
 	for _, o := range l.set.Others {
 		go func() {
 			for ctx.Err() == nil {
 				h := l.hello(nil)
+				h.Want = l.wants()
+				sent := time.Now()
 				var out Hello
 				if err := l.call(ctx, o.HostName, "Greet", &h, &out); err == nil {
 					l.note(&out)
+					l.state.Budget().Borrowed(out.Lent, sent)
 					if out.Owner {
 						l.pool.Hear(out.Hints, out.Have)
 					}
--- a/internal/state/budget.go
+++ b/internal/state/budget.go
@@ -31,59 +31,84 @@
 var maxWait = [...]time.Duration{Urgent: time.Second, Normal: 2 * time.Second, Spare: 0}
 
 // Budget keeps one controller inside its part of the store's limits. The parts
-// of all controllers add up to less than the whole, whoever owns the pool.
+// of all controllers add up to less than the whole, whoever owns the pool and
+// whoever can reach whom: a part grows only by what another controller has
+// promised not to use meanwhile.
 type Budget struct {
-	mu        sync.Mutex
-	calls     *rate.Limiter
-	writes    *rate.Limiter
-	rps, wps  float64
-	own, rest share
+	mu       sync.Mutex
+	rps, wps float64
+	own      share // the pool owner's, for what it does as such
+	rest     share // every node's, for its users and its own upkeep
+	users    bucket
+	pool     bucket
+	owner    bool
+	loans    []loan
 }
 
-// share is a controller's part of the calls and of the changes.
+// share is a part of the calls and of the changes.
 type share struct{ calls, writes float64 }
 
+// bucket holds tokens for calls and for changes.
+type bucket struct {
+	calls, writes *rate.Limiter
+	base          float64 // changes a second without loans
+	// What happened since the others were last asked for more.
+	used, short int
+	since       time.Time
+}
+
+// loan is changes a second lent (below zero) or borrowed until it ends.
+type loan struct {
+	rate float64
+	ends time.Time
+}
+
 // headroom leaves a little of the limits unused: clocks drift, and a takeover
 // briefly makes two owners.
 const headroom = 0.92
 
-// NewBudget splits the limits among n controllers, of which the pool's owner
-// gets ownerShare.
+// NewBudget splits the limits among n controllers; ownerShare of the changes
+// is for the pool's owner alone.
 func NewBudget(rps, wps float64, n int, ownerShare float64) *Budget {
-	b := &Budget{rps: rps * headroom, wps: wps * headroom, own: share{1, 1}, rest: share{1, 1}}
-	if n > 1 {
-		// The owner makes most changes, in few calls; users' polls cost all
-		// nodes alike.
-		calls := ownerShare * 2 / 3
-		b.own = share{calls, ownerShare}
-		b.rest = share{(1 - calls) / float64(n-1), (1 - ownerShare) / float64(n-1)}
-	}
-	// Buckets begin full: the limits allow bursts of a second's worth.
-	b.calls = rate.NewLimiter(rate.Limit(b.rps*b.rest.calls), burst(b.rps*b.rest.calls))
-	b.writes = rate.NewLimiter(rate.Limit(b.wps*b.rest.writes), burst(b.wps*b.rest.writes))
+	// The owner makes most changes, in few calls; users' polls cost all nodes
+	// alike.
+	calls := ownerShare * 2 / 3
+	b := &Budget{rps: rps * headroom, wps: wps * headroom, own: share{calls, ownerShare},
+		rest: share{(1 - calls) / float64(n), (1 - ownerShare) / float64(n)}}
+	now := time.Now()
+	b.users = newBucket(b.rps*b.rest.calls, b.wps*b.rest.writes, now)
+	b.pool = newBucket(b.rps*b.own.calls, b.wps*b.own.writes, now)
 	return b
 }
 
+// newBucket begins full: the limits allow bursts of a second's worth.
+func newBucket(calls, writes float64, now time.Time) bucket {
+	return bucket{rate.NewLimiter(rate.Limit(calls), burst(calls)), rate.NewLimiter(rate.Limit(writes), burst(writes)), writes, 0, 0, now}
+}
+
 func burst(perSecond float64) int { return max(4, int(perSecond)) }
 
-// SetOwner changes to the owner's part or back.
+// SetOwner tells whether this node owns the pool.
 func (b *Budget) SetOwner(owner bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	part := b.rest
-	if owner {
-		part = b.own
-	}
-	set := func(l *rate.Limiter, v float64) {
-		l.SetLimit(rate.Limit(v))
-		l.SetBurst(burst(v))
-	}
-	set(b.calls, b.rps*part.calls)
-	set(b.writes, b.wps*part.writes)
+	b.owner = owner
 }
 
 // WriteBurst is the most changes one transaction may carry now.
-func (b *Budget) WriteBurst() int { return b.writes.Burst() }
+func (b *Budget) WriteBurst() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.main().writes.Burst()
+}
+
+// main is the bucket of what is not the users'.
+func (b *Budget) main() *bucket {
+	if b.owner {
+		return &b.pool
+	}
+	return &b.users
+}
 
 // RetryAfter is when a refused user may find tokens again.
 func (b *Budget) RetryAfter() time.Duration {
@@ -92,17 +117,35 @@
 
 func (b *Budget) take(ctx context.Context, u Urgency, writes int) error {
 	deadline := time.Now().Add(maxWait[u])
-	for {
+	for first := true; ; first = false {
 		b.mu.Lock()
-		wait := b.shortfall(u, writes)
+		b.settle(time.Now())
+		from := b.main()
+		keep := reserve[u]
+		if u == Spare && b.owner {
+			// The owner's changes must not crowd out its users, who have a part
+			// of their own and may use what the owner does not.
+			if from = &b.users; from.shortfall(keep, writes) > 0 {
+				from, keep = &b.pool, 0.5
+			}
+		}
+		wait := from.shortfall(keep, writes)
 		if wait <= 0 {
-			b.calls.AllowN(time.Now(), 1)
+			from.calls.AllowN(time.Now(), 1)
 			if writes > 0 {
-				b.writes.AllowN(time.Now(), writes)
+				from.writes.AllowN(time.Now(), writes)
+				from.used += writes
 			}
 			b.mu.Unlock()
 			return nil
 		}
+		if first && writes > 0 {
+			if u == Spare {
+				b.users.short++
+			} else {
+				from.short++
+			}
+		}
 		b.mu.Unlock()
 		if time.Now().Add(wait).After(deadline) {
 			measure.Process.Count("refused for lack of tokens", 1)
@@ -116,19 +159,115 @@
 	}
 }
 
-// shortfall is how long until the call could be let through.
-func (b *Budget) shortfall(u Urgency, writes int) time.Duration {
+// shortfall is how long until a call could be let through.
+func (k *bucket) shortfall(keep float64, writes int) time.Duration {
 	lack := func(l *rate.Limiter, n float64) time.Duration {
-		need := min(n+reserve[u]*float64(l.Burst()), float64(l.Burst()))
+		need := min(n+keep*float64(l.Burst()), float64(l.Burst()))
 		miss := need - l.Tokens()
 		if miss <= 0 {
 			return 0
 		}
 		return time.Duration(miss/float64(l.Limit())*float64(time.Second)) + time.Millisecond
 	}
-	wait := lack(b.calls, 1)
+	wait := lack(k.calls, 1)
 	if writes > 0 {
-		wait = max(wait, lack(b.writes, float64(writes)))
+		wait = max(wait, lack(k.writes, float64(writes)))
 	}
 	return wait
 }
+
+// How long a lender keeps its promise, and the borrower counts on it. The
+// borrower counts from before it asked, so that no delay makes both use the
+// same tokens.
+const (
+	lentFor     = 2500 * time.Millisecond
+	borrowedFor = 2 * time.Second
+)
+
+// Wants is how many more changes a second this node could use now; 0 if it
+// gets by.
+func (b *Budget) Wants() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	want := 0.0
+	for _, k := range b.buckets() {
+		if k.short > 0 {
+			want += k.base
+		}
+		k.short = 0
+	}
+	return want
+}
+
+func (b *Budget) buckets() []*bucket {
+	if b.owner {
+		return []*bucket{&b.users, &b.pool}
+	}
+	return []*bucket{&b.users}
+}
+
+// Lend promises part of what this node does not use to another.
+func (b *Budget) Lend(want float64) float64 {
+	if !(want > 0) {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.settle(now)
+	k := b.main()
+	dt := now.Sub(k.since).Seconds()
+	if dt < 0.5 {
+		return 0
+	}
+	using := float64(k.used) / dt
+	if dt > 3 {
+		k.used, k.since = 0, now
+	}
+	if k.short > 0 {
+		return 0
+	}
+	got := min(want, float64(k.writes.Limit())-max(1.5*using, k.base/4, 1))
+	if got < 0.5 {
+		return 0
+	}
+	b.loans = append(b.loans, loan{-got, now.Add(lentFor)})
+	b.settle(now)
+	return got
+}
+
+// Borrowed adds what another node promised in answer to a request sent then.
+func (b *Budget) Borrowed(perSecond float64, sent time.Time) {
+	if !(perSecond > 0) {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.loans = append(b.loans, loan{perSecond, sent.Add(borrowedFor)})
+	b.settle(time.Now())
+}
+
+// settle drops loans that are over and sets the rate by the rest.
+func (b *Budget) settle(now time.Time) {
+	if len(b.loans) == 0 {
+		return
+	}
+	kept, sum := b.loans[:0], 0.0
+	for _, l := range b.loans {
+		if now.Before(l.ends) {
+			kept = append(kept, l)
+			sum += l.rate
+		}
+	}
+	b.loans = kept
+	for _, k := range []*bucket{&b.users, &b.pool} {
+		v := k.base
+		if k == b.main() {
+			v = max(0.1, v+sum)
+		}
+		if float64(k.writes.Limit()) != v {
+			k.writes.SetLimitAt(now, rate.Limit(v))
+			k.writes.SetBurstAt(now, burst(v))
+		}
+	}
+}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -118,3 +118,135 @@
 		}
 	})
 }
+
+func TestOneReadBegunAfterThemServesAllWhoWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		n, s, c := setup()
+		put := func(k, v string) {
+			if _, err := c.Commit(ctx, Txn{Then: []Op{{Put: k, Value: []byte(v)}}}, Urgent); err != nil {
+				t.Fatal(err)
+			}
+		}
+		put("j/1", `1`)
+		m := NewMirror(c, "j/", time.Second)
+		if err := m.Sync(ctx); err != nil {
+			t.Fatal(err)
+		}
+		put("j/1", `2`)
+		calls := 0
+		n.SetRule(func(_, _ string, r *http.Request, _ []byte) fake.Fate {
+			calls++
+			return fake.Deliver
+		})
+		done := make(chan string, 300)
+		for range 300 {
+			go func() {
+				if err := m.Sync(ctx); err != nil {
+					done <- err.Error()
+					return
+				}
+				e, _, _ := m.Get("j/1")
+				done <- string(e.Value)
+			}()
+		}
+		for range 300 {
+			if v := <-done; v != `2` {
+				t.Fatalf("told %s after 2 was stored", v)
+			}
+		}
+		if calls > 4 {
+			t.Errorf("%d calls for 300 who asked at once", calls)
+		}
+		// In an outage nothing may be told from the copy, however fresh it
+		// looks: a watch may end well all the same.
+		s.SetDown(true)
+		if err := m.Sync(ctx); err == nil {
+			t.Error("the copy passes for the store's state in an outage")
+		}
+		s.SetDown(false)
+		// News that were overtaken by newer ones change nothing.
+		put("j/1", `3`)
+		if err := m.Sync(ctx); err != nil {
+			t.Fatal(err)
+		}
+		m.apply(2, []Change{{Put: "j/1", Value: []byte(`2`), Stamp: 2}})
+		if e, _, _ := m.Get("j/1"); string(e.Value) != `3` {
+			t.Errorf("an overtaken answer took the copy back to %s", e.Value)
+		}
+	})
+}
+
+func TestLentTokensAreNeverUsedByBoth(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		const wps = 50
+		a, b := NewBudget(1000, wps, 2, 0.6), NewBudget(1000, wps, 2, 0.6)
+		a.SetOwner(true)
+		use := func(k *Budget, u Urgency) (n int) {
+			for k.take(ctx, u, 1) == nil {
+				if n++; n > 1000 {
+					t.Fatal("no bound")
+				}
+			}
+			return n
+		}
+		use(b, Spare) // the bursts that buckets begin with
+		use(a, Spare)
+		second := func(f func()) {
+			f()
+			time.Sleep(100 * time.Millisecond)
+		}
+		total, bs := 0, 0
+		for range 20 * 10 {
+			second(func() {
+				// b is hungry, a idle; they talk once a second.
+				n := use(b, Spare)
+				bs, total = bs+n, total+n
+				if time.Now().UnixMilli()%1000 < 100 {
+					sent := time.Now()
+					b.Borrowed(a.Lend(b.Wants()), sent)
+				}
+			})
+		}
+		alone := int(0.4 * wps / 2 * headroom * 20)
+		if bs < alone*3/2 {
+			t.Errorf("%d changes in 20 s, hardly more than its own %d", bs, alone)
+		}
+		// Cut off from one another, the promise ends and each keeps to its part.
+		time.Sleep(3 * time.Second)
+		use(b, Spare)
+		bs = 0
+		for range 50 {
+			second(func() { bs += use(b, Spare) })
+		}
+		if most := int(0.4*wps/2*headroom*5) + 2; bs > most {
+			t.Errorf("%d changes in 5 s on a part of %d", bs, most)
+		}
+		// Whatever both can use together stays below the limit.
+		total = 0
+		for i := range 10 * 10 {
+			second(func() {
+				total += use(b, Spare) + use(a, Spare)
+				for a.take(shortly(ctx), Urgent, 1) == nil {
+					total++
+				}
+				if i%10 == 0 {
+					sent := time.Now()
+					b.Borrowed(a.Lend(b.Wants()), sent)
+					a.Borrowed(b.Lend(a.Wants()), sent)
+				}
+			})
+		}
+		if total > wps*11 {
+			t.Errorf("%d changes in 10 s of a limit of %d a second", total, wps)
+		}
+	})
+}
+
+// shortly is a context that leaves no time to wait for tokens.
+func shortly(ctx context.Context) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	cancel()
+	return ctx
+}
--- a/internal/worker/roster.go
+++ b/internal/worker/roster.go
@@ -48,6 +48,11 @@
 	Probing   bool      // one is under way
 	Doubted   time.Time // when the first of those questions was asked
 	Asked     time.Time
+	// Unreached is since when commands and questions to it go unanswered;
+	// zero while they are answered. Its reports may arrive all the same, when
+	// only the way to it is cut: they do not end this.
+	Unreached time.Time
+	Failures  int // unanswered ones since then
 	Faults    int
 	Lates     []Late
 	Images    Images
@@ -155,6 +160,18 @@
 	return false
 }
 
+// Reached notes whether the machine answered when it was called.
+func (m *Machine) Reached(answered bool, now time.Time) {
+	switch {
+	case answered:
+		m.Unreached, m.Failures = time.Time{}, 0
+	case m.Unreached.IsZero():
+		m.Unreached, m.Failures = now, 1
+	default:
+		m.Failures++
+	}
+}
+
 // Silent is how long nothing has come from the machine.
 func (m *Machine) Silent(now time.Time) time.Duration { return now.Sub(m.Seen) }
 
@@ -169,7 +186,7 @@
 	if now.Sub(beats) > 4*report.Duration()+2*time.Second {
 		return false
 	}
-	return m.Heard && m.Draining == "" && !m.Failed && !m.Deleting && m.TakenAt.IsZero() &&
+	return m.Heard && m.Unreached.IsZero() && m.Draining == "" && !m.Failed && !m.Deleting && m.TakenAt.IsZero() &&
 		m.Silent(now) < 2*report.Duration()+time.Second
 }
 
