Gangs: starts wait for the others' images; room counted by what runs and by zone

Ruled out: too few machines in the cloud (12 of 12 were not rented).

Change: the start of a task that has its image goes out when the others wait for theirs; a task replaced where it ended is cleared first; turns by the mean of what its class runs; room for work that must be together is counted per zone.

--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -475,3 +475,99 @@
 		t.Error("a machine that answers again takes no work")
 	}
 }
+
+func gangBook(now time.Time) (*Book, *Job) {
+	b := testBook()
+	b.hear("warm", "north", 1)
+	b.hear("cold", "north", 1)
+	b.holdsNow(b.hostOf("warm"), b.roster.Machines["warm"], "i", 1, 20)
+	r := rec("job-1", "blue", High, 2, 3)
+	r.Spec.Shape = Gang
+	b.Learn("job-1", 1, r, now)
+	b.Plan(now)
+	for _, j := range b.jobs {
+		j.saved = j.version
+		b.settledUpTo(j)
+	}
+	return b, b.jobs["job-1"]
+}
+
+// startsFor lists the machines that get a start now.
+func (b *Book) startsFor() map[ids.Machine]bool {
+	out := map[ids.Machine]bool{}
+	for _, ba := range b.batches() {
+		for _, o := range ba.orders {
+			out[ba.machine] = out[ba.machine] || o.Verb == "start"
+		}
+	}
+	return out
+}
+
+func TestAGangsTaskThatHasItsImageStartsWhenTheOthersHaveTheirs(t *testing.T) {
+	// Guards against tasks that give up waiting while others fetch a large
+	// image, again and again.
+	b, j := gangBook(time.Now())
+	if len(j.places) != 2 {
+		t.Fatal("not placed")
+	}
+	if s := b.startsFor(); !s["cold"] || s["warm"] {
+		t.Fatalf("started on %v", s)
+	}
+	task := map[ids.Machine]string{}
+	for _, p := range j.places {
+		task[p.Machine] = p.Task().String()
+	}
+	if o := b.hear("warm", "north", 2); len(o) != 0 {
+		t.Fatalf("a beat was answered with %v", o)
+	}
+	b.hear("cold", "north", 2, worker.Piece{Task: task["cold"], Attempt: 1, Status: worker.Pulling})
+	if s := b.startsFor(); s["warm"] {
+		t.Fatal("started while the other still fetches")
+	}
+	b.hear("cold", "north", 3, worker.Piece{Task: task["cold"], Attempt: 1, Status: worker.Waiting})
+	if s := b.startsFor(); !s["warm"] {
+		t.Fatal("not started although the other waits for it")
+	}
+}
+
+func TestATaskReplacedWhereItEndedIsClearedFirst(t *testing.T) {
+	// Guards against taking the old outcome of an attempt for that of its
+	// replacement on the same machine, which then was placed anew at each pass.
+	now := time.Now()
+	b, j := gangBook(now)
+	b.startsFor()
+	task := map[ids.Machine]string{}
+	for _, p := range j.places {
+		task[p.Machine] = p.Task().String()
+	}
+	b.hear("cold", "north", 2, worker.Piece{Task: task["cold"], Attempt: 1, Status: worker.Waiting})
+	b.startsFor()
+	for _, m := range b.roster.Machines {
+		m.Lates = nil // the commands were answered
+	}
+	b.hear("warm", "north", 2, worker.Piece{Task: task["warm"], Attempt: 1, Status: worker.Waiting})
+	ended := worker.Piece{Task: task["warm"], Attempt: 1, Status: worker.Ended, Cause: worker.CauseIncomplete}
+	b.hear("warm", "north", 3, ended)
+	b.Plan(now)
+	p := j.places[0]
+	if p == nil || p.Machine != "warm" {
+		p = j.places[1]
+	}
+	if p == nil || p.Machine != "warm" || p.Attempt != 1 {
+		t.Fatalf("replaced by %+v", p)
+	}
+	j.saved = j.version
+	b.settledUpTo(j)
+	if s := b.startsFor(); s["warm"] {
+		t.Fatal("started while the worker still lists the ended one")
+	}
+	if o := b.hear("warm", "north", 4, ended); len(o) != 1 || o[0].Verb != "clear" {
+		t.Fatalf("ordered %v", o)
+	}
+	if j.places[p.Index] != p {
+		t.Fatal("the old outcome was taken for the new one's")
+	}
+	if o := b.hear("warm", "north", 5); len(o) != 1 || o[0].Verb != "start" {
+		t.Fatalf("after it was cleared, ordered %v", o)
+	}
+}
--- a/internal/claim/dispatch.go
+++ b/internal/claim/dispatch.go
@@ -43,6 +43,7 @@
 			case p.stopping && p.seen && p.stopSent.Before(p.stopAt):
 				p.stopSent = now
 				ba.orders = append(ba.orders, worker.Stop(p.Task().String(), p.Attempt, p.leeway))
+			case !p.stopping && !p.sent && p.Job.saved >= p.version && !b.mayStart(p, m):
 			case !p.stopping && !p.sent && p.Job.saved >= p.version && p.Token == b.gen:
 				p.sent = true
 				m.Lates = append(m.Lates, worker.Late{Task: p.Task().String(), Attempt: p.Attempt, Token: b.gen, Session: m.Session})
--- a/internal/claim/gang.go
+++ b/internal/claim/gang.go
@@ -117,3 +117,33 @@
 		j.waiting = "waits for room freed on " + victim
 	}
 }
+
+// mayStart tells whether a placed task's start should go out now. Two things
+// hold it back, both of gangs. A task that has its image at once would only
+// wait for those that must fetch theirs, and give up after gang_wait_s, long
+// before a large image is there; so it starts when they wait for it. And a task
+// replaced where it ended under the same attempt must be cleared first, or the
+// worker would take its start for one it knows.
+func (b *Book) mayStart(p *Place, m *worker.Machine) bool {
+	j := p.Job
+	if j.Rec.Spec.Shape != Gang {
+		return true
+	}
+	for i := range m.Pieces {
+		if m.Pieces[i].Attempt == p.Attempt && m.Pieces[i].Task == p.Task().String() {
+			return false
+		}
+	}
+	if !m.Images.Has(j.Rec.Spec.Image) {
+		return true
+	}
+	for _, o := range j.places {
+		if o == p || o.stopping || o.seen && o.status != worker.Pulling {
+			continue
+		}
+		if om := b.roster.Machines[o.Machine]; om == nil || !om.Images.Has(j.Rec.Spec.Image) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -150,8 +150,9 @@
 
 // want is how many machines' places a job's queued tasks call for, as a
 // fraction of each, and the share of the room in use now that will be free for
-// them in time.
-func (b *Book) want(j *Job) (slots, turn float64) {
+// them in time: that hangs on how long what runs there takes (runs, by class),
+// not on how short the waiting job is.
+func (b *Book) want(j *Job, runs map[string]float64) (slots, turn float64) {
 	s := &j.Rec.Spec
 	n := j.left() - len(j.places)
 	n = min(n, b.quota(s, max(n, 0)))
@@ -167,11 +168,32 @@
 		}
 		share := min(1, takes/b.horizon(j))
 		slots *= share
-		turn = min(1, b.horizon(j)/float64(s.Estimate))
+	}
+	if s.Estimate > 0 {
+		takes := runs[s.Class]
+		if takes == 0 {
+			takes = float64(s.Estimate)
+		}
+		turn = min(1, b.horizon(j)/takes)
 	}
 	return slots, turn
 }
 
+// running is the mean estimate of the tasks that each class has on machines.
+func (b *Book) running() map[string]float64 {
+	sum, n := map[string]float64{}, map[string]float64{}
+	for _, j := range b.line {
+		if k := float64(len(j.places)); k > 0 {
+			sum[j.Rec.Spec.Class] += k * float64(j.Rec.Spec.Estimate)
+			n[j.Rec.Spec.Class] += k
+		}
+	}
+	for c := range sum {
+		sum[c] /= n[c]
+	}
+	return sum
+}
+
 // demands adds up what the jobs of a class want: rounding each job up would
 // rent a machine for every small one.
 func (b *Book) demands(now time.Time) []placement.Demand {
@@ -181,20 +203,32 @@
 		need       placement.Room
 		zone       string
 		types      string
+		job        ids.Job // of those that need a zone of their own choice
 	}
 	sums := map[group]float64{}
 	at := map[group]int{}
 	var ds []placement.Demand
+	runs := b.running()
 	for _, j := range b.ranked(now) {
-		slots, turn := b.want(j)
+		slots, turn := b.want(j, runs)
 		if slots <= 0 {
 			continue
 		}
 		s := &j.Rec.Spec
-		g := group{s.Class, j.guaranteed, s.Need, s.Zone, strings.Join(s.Types, ",")}
+		ask := s.Ask()
+		g := group{class: s.Class, guaranteed: j.guaranteed, need: s.Need, types: strings.Join(s.Types, ",")}
+		if s.OneZone && s.Tasks > 1 {
+			g.job = s.ID
+			for _, p := range j.places {
+				if m := b.roster.Machines[p.Machine]; m != nil && m.Zone != "" {
+					ask.Zone = m.Zone // where the rest is
+				}
+			}
+		}
+		g.zone = ask.Zone
 		if _, ok := at[g]; !ok {
 			at[g] = len(ds)
-			ds = append(ds, placement.Demand{Ask: s.Ask(), Spread: s.Spread, Preempt: s.Priority >= High, TurnShare: turn})
+			ds = append(ds, placement.Demand{Ask: ask, Spread: s.Spread, Together: g.job != "" && ask.Zone == "", Preempt: s.Priority >= High, TurnShare: turn})
 		}
 		sums[g] += slots
 	}
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -73,7 +73,9 @@
 		listed[k] = true
 		j := b.jobs[t.Job]
 		if j != nil {
-			if p := j.places[t.Index]; p != nil && p.Machine == m.Name && p.Attempt == pc.Attempt {
+			// What is listed before a start went out is left from an earlier start
+			// of the same attempt there, whose outcome is known.
+			if p := j.places[t.Index]; p != nil && p.Machine == m.Name && p.Attempt == pc.Attempt && p.sent {
 				if pc.Status == worker.Ended {
 					b.settle(p, pc, m)
 				} else {
@@ -100,6 +102,12 @@
 			b.vanish(p, "start dropped by "+string(m.Name))
 		}
 	}
+	for p := range b.placesOn(m.Name) {
+		if !p.sent {
+			b.due[h] = true // its start may have waited for this report
+			break
+		}
+	}
 	orders = append(orders, b.ordersFor(m, beat, now)...)
 	// One line of an answer must stay below 64 KiB; the rest follows with the
 	// next report.
@@ -124,7 +132,7 @@
 			if p.seen && p.status != worker.Ended {
 				orders = append(orders, worker.Stop(p.Task().String(), p.Attempt, p.leewayNow(now)))
 			}
-		case !p.seen && p.Token == b.gen && j.saved >= p.version && !m.Deleting:
+		case !p.seen && p.Token == b.gen && j.saved >= p.version && !m.Deleting && (p.sent || b.mayStart(p, m)):
 			p.sent, p.offered, p.beatOffer = true, true, m.Tick
 			orders = append(orders, worker.Start(p.Task(), p.Attempt))
 		}
@@ -158,6 +166,13 @@
 	if p.status != pc.Status && pc.Status == worker.Running {
 		p.ranSince = now
 	}
+	if p.status != pc.Status && p.Job.Rec.Spec.Shape == Gang {
+		for _, o := range p.Job.places {
+			if !o.sent {
+				b.owe(o) // it waited for this one's image
+			}
+		}
+	}
 	if pc.Status != worker.Pulling && p.status != pc.Status {
 		s := &p.Job.Rec.Spec
 		cache := math.Inf(1)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -93,3 +93,27 @@
 		t.Fatalf("hires %+v although a turn is free in time", hs)
 	}
 }
+
+func TestRoomInTwoZonesDoesNotAddUpForWorkThatMustBeTogether(t *testing.T) {
+	// Guards against a gang that waits for ever beside one free machine in each
+	// of two zones.
+	any := func(string, string, bool) bool { return true }
+	two := &Type{Label: "big", Cores: 64, Accels: 8, RAM: 256, PullGBPerS: 0.25, Price: 24, SpotPrice: 10, Zones: []string{"n", "s"}, BootS: 30}
+	gang := Demand{Ask: Ask{Need: Room{Accels: 8}}, Count: 2, Together: true, TurnShare: 1}
+	free := func() []Up {
+		return []Up{{Name: "a", Type: two, Zone: "n", Free: two.Room()}, {Name: "b", Type: two, Zone: "s", Free: two.Room()}}
+	}
+	hs, _ := Rent([]Demand{gang}, free(), []*Type{two}, any)
+	if len(hs) != 1 || hs[0].Count != 1 {
+		t.Fatalf("hires %+v", hs)
+	}
+	// Where none is to be had, the other zone is taken.
+	hs, _ = Rent([]Demand{gang}, free(), []*Type{two}, func(_, z string, _ bool) bool { return z == "s" })
+	if len(hs) != 1 || hs[0].Zone != "s" {
+		t.Fatalf("hires %+v", hs)
+	}
+	both := append(free(), Up{Name: "c", Type: two, Zone: "s", Free: two.Room()})
+	if hs, needed := Rent([]Demand{gang}, both, []*Type{two}, any); len(hs) != 0 || !needed["b"] || !needed["c"] {
+		t.Fatalf("hires %+v, needed %v", hs, needed)
+	}
+}
--- a/internal/placement/rent.go
+++ b/internal/placement/rent.go
@@ -10,12 +10,15 @@
 // Demand is room that is wanted: for tasks that wait, or kept free for work
 // that must start sooner than a machine boots.
 type Demand struct {
-	Ask     Ask
-	Count   int
-	Spread  bool // prefer the zone with the least so far
-	Preempt bool // may displace what runs on an array's room
-	Keep    bool // not waiting yet: only holds room free
-	Hold    bool // keeps what there is, but is no reason to hire
+	Ask    Ask
+	Count  int
+	Spread bool // prefer the zone with the least so far
+	// Together: all in one zone, whichever. Room in different zones does not
+	// add up for it.
+	Together bool
+	Preempt  bool // may displace what runs on an array's room
+	Keep     bool // not waiting yet: only holds room free
+	Hold     bool // keeps what there is, but is no reason to hire
 	// TurnShare is how much of the room that is in use now will be free in
 	// time.
 	TurnShare float64
@@ -72,22 +75,15 @@
 	})
 	for _, d := range ds {
 		left := d.Count
+		if d.Together {
+			d.Ask.Zone = gather(&d, ups, types, ok)
+		}
 		for _, i := range order {
 			if left == 0 {
 				break
 			}
 			u := &ups[i]
-			// Accelerators cost so much more than cores that work without
-			// them may use their machines while those are there anyhow, but
-			// is no reason to have them, nor to be counted on to find room.
-			if !d.Ask.Allows(u.Type.Label, u.Zone, u.Spot) || d.Ask.Need.Accels == 0 && u.Type.Accels > 0 {
-				continue
-			}
-			room := u.Free
-			if !d.Keep || d.Preempt {
-				room = room.Plus(u.Turn.Times(d.TurnShare))
-			}
-			n := room.Count(d.Ask.Need, left)
+			n := d.covers(u, left)
 			if n == 0 {
 				continue
 			}
@@ -138,6 +134,51 @@
 	return hires, needed
 }
 
+// covers is how many of the demand's tasks, at most n, a machine has room for.
+func (d *Demand) covers(u *Up, n int) int {
+	// Accelerators cost so much more than cores that work without them may use
+	// their machines while those are there anyhow, but is no reason to have
+	// them, nor to be counted on to find room.
+	if !d.Ask.Allows(u.Type.Label, u.Zone, u.Spot) || d.Ask.Need.Accels == 0 && u.Type.Accels > 0 {
+		return 0
+	}
+	room := u.Free
+	if !d.Keep || d.Preempt {
+		room = room.Plus(u.Turn.Times(d.TurnShare))
+	}
+	return room.Count(d.Ask.Need, n)
+}
+
+// gather picks the zone for work that must be together: the one that has most
+// room for it already, among those where the rest can be had.
+func gather(d *Demand, ups []Up, types []*Type, ok Offers) string {
+	have := map[string]int{}
+	for i := range ups {
+		have[ups[i].Zone] += d.covers(&ups[i], d.Count)
+	}
+	best, bestHas, bestCan := "", 0, false
+	seen := map[string]bool{}
+	for _, t := range types {
+		for _, z := range t.Zones {
+			if seen[z] {
+				continue
+			}
+			seen[z] = true
+			in := *d
+			in.Ask.Zone = z
+			has, can := min(have[z], d.Count), have[z] >= d.Count
+			if !can {
+				_, _, n := cheapest(&in, d.Count-has, types, map[string]int{}, ok)
+				can = n > 0
+			}
+			if best == "" || can && !bestCan || can == bestCan && has > bestHas {
+				best, bestHas, bestCan = z, has, can
+			}
+		}
+	}
+	return best
+}
+
 func (r Room) positive() Room { return Room{max(r.Cores, 0), max(r.Accels, 0), max(r.RAM, 0)} }
 
 // sortBy is stable, so that decisions do not hang on chance.
