Of gangs alike the one whose image is held goes first

Ruled out: more machines (none to be had).

Change: soonest complete counts the fetch, unless machines that hold the image have room.

--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -571,3 +571,20 @@
 		t.Fatalf("after it was cleared, ordered %v", o)
 	}
 }
+
+func TestOfGangsAlikeTheOneThatNeedNotFetchGoesFirst(t *testing.T) {
+	now := time.Now()
+	b := testBook()
+	b.set.Params.Teams[1].CPUs = 0 // neither is guaranteed
+	b.hear("m1", "north", 1)
+	b.holdsNow(b.hostOf("m1"), b.roster.Machines["m1"], "held", 8, 20)
+	for id, image := range map[ids.Job]string{"job-1": "other", "job-2": "held"} {
+		r := rec(id, "blue", High, 1, 4)
+		r.Spec.Shape, r.Spec.Image, r.Spec.ImageGB = Gang, image, 8
+		b.Learn(id, 1, r, now)
+	}
+	b.Plan(now)
+	if len(b.jobs["job-2"].places) != 1 || len(b.jobs["job-1"].places) != 0 {
+		t.Fatal("the machine fetches although a gang waits whose image it holds")
+	}
+}
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -140,7 +140,11 @@
 		// nothing to its user until its last task is done. Waiting makes up
 		// for size.
 		if s.Shape != Service {
-			es[i].size = float64(j.left()) * s.Need.Cores * max(1, float64(s.Estimate)) / (1 + age/max(5, min(20, b.horizon(j)/2)))
+			takes := max(1, float64(s.Estimate))
+			if s.Shape == Gang && !b.readyWhereHeld(j) {
+				takes += b.fetch(s)
+			}
+			es[i].size = float64(j.left()) * s.Need.Cores * takes / (1 + age/max(5, min(20, b.horizon(j)/2)))
 		}
 	}
 	sort.SliceStable(es, func(x, y int) bool {
@@ -156,6 +160,23 @@
 	return js
 }
 
+// readyWhereHeld tells whether machines that hold a gang's image have room for
+// all of it. Large images take a good part of a gang's time, so of two gangs
+// alike the one that need not fetch is complete sooner.
+func (b *Book) readyWhereHeld(j *Job) bool {
+	s := &j.Rec.Spec
+	n := s.Tasks - len(j.places)
+	for h := range b.byImage[s.Image] {
+		if h.shelf != nil && h.holds(b, s.Image) {
+			n -= h.free().Count(s.Need, n)
+		}
+		if n <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // within tells whether a team's demand, up to and with this job, lies inside
 // its guarantee. Work with accelerators is guaranteed by them alone: teams are
 // not promised the cores beside them separately.
