Machines with replicas are asked sooner and given up after 4 s of silence, not 10

Ruled out: the way after that (the cloud's confirmation, placement and a fetch take about 3 s).

Change: machines on which replicas run are asked after 2.5 s without a word and returned after 4 s and two unanswered questions; others as before. That most others were heard since still decides.

--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -588,3 +588,45 @@
 		t.Fatal("the machine fetches although a gang waits whose image it holds")
 	}
 }
+
+func TestReplicasOnASilentMachineDoNotWaitForALongReportInterval(t *testing.T) {
+	b := testBook()
+	b.set.Params.Workers.ReportS = 10
+	now := time.Now()
+	for i := range 8 {
+		b.hear(ids.Machine(fmt.Sprint("m", i)), "north", 1)
+	}
+	svc := rec("job-1", "blue", Critical, 1, 4)
+	svc.Spec.Shape = Service
+	b.Learn("job-1", 1, svc, now)
+	b.Learn("job-2", 2, rec("job-2", "blue", Normal, 1, 4), now)
+	b.Plan(now)
+	b.store()
+	with, without := b.jobs["job-1"].places[0].Machine, b.jobs["job-2"].places[0].Machine
+	for _, m := range b.roster.Machines {
+		m.Seen = now.Add(-3 * time.Second)
+	}
+	asked := map[ids.Machine]bool{}
+	for _, pr := range b.toProbe(now, 100) {
+		asked[pr.machine] = true
+	}
+	if !asked[with] || len(asked) != 1 {
+		t.Fatalf("asked %v, not only %s, which has a replica", asked, with)
+	}
+	for _, m := range b.roster.Machines {
+		m.Seen = now
+	}
+	for _, name := range []ids.Machine{with, without} {
+		m := b.roster.Machines[name]
+		m.Seen, m.Doubted, m.Probes = now.Add(-4500*time.Millisecond), now.Add(-2*time.Second), 2
+	}
+	if gone := b.Returns(now, map[ids.Machine]bool{}); len(gone) != 1 || gone[0] != with {
+		t.Fatalf("returned %v, not %s", gone, with)
+	}
+	// One unanswered question may be bad luck.
+	b.roster.Machines[without].Probes = 1
+	b.roster.Machines[without].Seen = now.Add(-12 * time.Second)
+	if gone := b.Returns(now, map[ids.Machine]bool{}); len(gone) != 1 {
+		t.Fatalf("returned %v after one question", gone)
+	}
+}
--- a/internal/claim/dispatch.go
+++ b/internal/claim/dispatch.go
@@ -195,11 +195,11 @@
 		return nil
 	}
 	b.probedAt = now
-	overdue := b.set.Params.Workers.ReportS.Duration() / 2
 	for _, m := range b.roster.Machines {
 		if b.probing >= most {
 			break
 		}
+		overdue := b.askAfter(m)
 		if m.Deleting || m.Probing || m.Addr == "" {
 			continue
 		}
@@ -219,6 +219,17 @@
 	return out
 }
 
+// askAfter is the silence after which a machine is asked how it is. Where
+// replicas run, nobody waits long for a report: while a machine hangs, they are
+// down, and reports may be far apart.
+func (b *Book) askAfter(m *worker.Machine) time.Duration {
+	after := b.set.Params.Workers.ReportS.Duration() / 2
+	if h := b.hosts[m.Name]; h != nil && h.stay > 0 {
+		after = min(after, believed*5/8)
+	}
+	return after
+}
+
 func (b *Book) probed(name ids.Machine, answered bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/claim/hosts.go
+++ b/internal/claim/hosts.go
@@ -16,6 +16,7 @@
 	places map[*Place]bool
 	used   placement.Room
 	turn   placement.Room   // the part that ends by itself or may be displaced
+	stay   int              // tasks that run until they are cancelled
 	pulls  map[string]*pull // images that its tasks still wait for
 	shelf  *shelf
 	at     int // index in the shelf's open list; -1 while it is full
@@ -131,6 +132,8 @@
 	h.used = h.used.Plus(p.Job.Rec.Spec.Need)
 	if p.Job.Rec.Spec.Shape != Service {
 		h.turn = h.turn.Plus(p.Job.Rec.Spec.Need)
+	} else {
+		h.stay++
 	}
 	b.awaits(h, p)
 	b.shelve(h)
@@ -145,6 +148,8 @@
 	h.used = h.used.Minus(p.Job.Rec.Spec.Need)
 	if p.Job.Rec.Spec.Shape != Service {
 		h.turn = h.turn.Minus(p.Job.Rec.Spec.Need)
+	} else {
+		h.stay--
 	}
 	if len(h.places) == 0 {
 		h.used, h.turn = placement.Room{}, placement.Room{} // no dust of rounding stays behind
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -432,9 +432,9 @@
 		return m.Draining
 	case m.Name == b.emptying && empty:
 		return "its work was moved together with other work"
-	case m.Heard && (m.Silent(now) > silentAfter || m.Probes >= 2 && m.Silent(now) > b.silentFor()) && si.alone(m):
+	case m.Heard && (m.Silent(now) > silentAfter || m.Probes >= 2 && m.Silent(now) > b.silentFor(m)) && si.alone(m):
 		return "silent"
-	case m.Heard && m.Failures >= 3 && now.Sub(m.Unreached) > b.silentFor() && si.alone(m):
+	case m.Heard && m.Failures >= 3 && now.Sub(m.Unreached) > b.silentFor(m) && si.alone(m):
 		return "nothing reaches it"
 	case !m.Heard && m.Booting && t != nil && now.Sub(m.HeldSince) > time.Duration(b.set.Own.StuckBootFactor*float64(t.BootS.Duration())):
 		return "it does not come up"
@@ -448,10 +448,20 @@
 	return ""
 }
 
+// believed is the silence, with questions left unanswered in it, after which a
+// machine with replicas is given up at the latest.
+const believed = 4 * time.Second
+
 // silentFor is how long a machine that leaves questions unanswered is given.
 // Its replicas are down meanwhile, so it is short; a node that is itself cut
 // off sees many such machines and then returns none.
-func (b *Book) silentFor() time.Duration { return b.set.Params.Workers.ReportS.Duration() }
+func (b *Book) silentFor(m *worker.Machine) time.Duration {
+	d := b.set.Params.Workers.ReportS.Duration()
+	if h := b.hosts[m.Name]; h != nil && h.stay > 0 {
+		d = min(d, believed)
+	}
+	return d
+}
 
 // silence is who is heard and who is not, counted once for all machines that
 // are judged by it.
