--- /dev/null
+++ b/internal/claim/troubles_test.go
@@ -0,0 +1,232 @@
+package claim_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/fake"
+)
+
+// copies has every beat of a worker copied, for delivery later.
+func (w *world) copies(worker string) {
+	w.net.SetRule(func(from, _ string, r *http.Request, _ []byte) fake.Fate {
+		if strings.HasPrefix(from, worker+":") && r.URL.Path == "/agent/beat" {
+			return fake.Copy
+		}
+		return fake.Deliver
+	})
+}
+
+func (w *world) owner() *node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range w.nodes {
+		if n.pool.Book() != nil {
+			return n
+		}
+	}
+	return nil
+}
+
+func TestLateCopiesOfReportsChangeNothing(t *testing.T) {
+	// Guards against a copy, seconds or more than a lease old, that shows a task
+	// as running which has ended and was cleared, or lacks one that runs now.
+	for _, late := range []time.Duration{3 * time.Second, 35 * time.Second} {
+		story(t, func(t *testing.T, w *world) {
+			w.start("a")
+			m1 := w.worker("m1", "north")
+			w.worker("m2", "south")
+			time.Sleep(10 * time.Second)
+			w.copies("m1")
+			s := spec("job-1", "array", 8)
+			w.submit("a", s)
+			w.until(4*time.Second, "all run", func() bool { return len(m1.Live()) == 4 })
+			time.Sleep(3 * time.Second)
+			for _, k := range w.workers {
+				for _, task := range k.Live() {
+					k.End(task, "done")
+				}
+			}
+			w.until(6*time.Second, "done", func() bool { return w.status("a", "job-1") == "done" })
+			time.Sleep(6 * time.Second) // stored and cleared
+			w.net.SetRule(nil)
+			w.submit("a", spec("job-2", "standing", 8))
+			w.until(4*time.Second, "the next one runs", func() bool { return len(m1.Live()) == 4 })
+			time.Sleep(late)
+			if w.net.Release() < 3 {
+				t.Fatal("no copies were kept")
+			}
+			w.hold(25*time.Second, "replicas go on, nothing old begins", func() bool {
+				return len(m1.Live()) == 4 && len(w.on("job-2/0")) == 1 && len(w.on("job-1/0")) == 0
+			})
+			for _, k := range w.workers {
+				for i := range 8 {
+					for _, job := range []string{"job-1/", "job-2/"} {
+						if n := k.Started(job + string(rune('0'+i))); n > 1 {
+							t.Fatalf("%s%d started %d times on %s", job, i, n, k.Name)
+						}
+					}
+				}
+			}
+			if s := w.status("a", "job-1"); s != "done" {
+				t.Fatalf("a done job is called %q", s)
+			}
+		})
+	}
+}
+
+func TestANewOwnerFirstHearsLateCopiesOfReports(t *testing.T) {
+	// The copies show job-1 running and know nothing of job-2, which runs there
+	// now: the new owner hears them before anything else of that machine.
+	story(t, func(t *testing.T, w *world) {
+		a := w.start("a")
+		m1 := w.worker("m1", "north")
+		time.Sleep(10 * time.Second)
+		w.copies("m1")
+		w.submit("a", spec("job-1", "array", 1))
+		w.until(4*time.Second, "it runs", func() bool { return len(w.on("job-1/0")) == 1 })
+		time.Sleep(3 * time.Second)
+		w.net.SetRule(nil)
+		m1.End("job-1/0", "done")
+		w.until(6*time.Second, "done", func() bool { return w.status("a", "job-1") == "done" })
+		time.Sleep(6 * time.Second)
+		w.submit("a", spec("job-2", "array", 1))
+		w.until(4*time.Second, "the next one runs", func() bool { return len(w.on("job-2/0")) == 1 })
+		time.Sleep(5 * time.Second)
+		m1.SetSilent(true)
+		a.kill()
+		time.Sleep(200 * time.Millisecond)
+		a = w.start("a")
+		w.until(5*time.Second, "it owns the pool again", func() bool { return a.pool.Book() != nil })
+		if w.net.Release() < 2 {
+			t.Fatal("no copies were kept")
+		}
+		w.worker("m2", "south")
+		time.Sleep(4 * time.Second)
+		m1.SetSilent(false)
+		w.hold(30*time.Second, "job-2 goes on where it is", func() bool { return len(w.on("job-2/0")) == 1 && w.on("job-2/0")[0] == "m1" })
+		if m1.Started("job-1/0") != 1 || m1.Started("job-2/0") != 1 || len(w.on("job-1/0")) != 0 {
+			t.Fatal("something was started again")
+		}
+		m1.End("job-2/0", "done")
+		w.until(8*time.Second, "done", func() bool { return w.status("a", "job-2") == "done" && w.status("a", "job-1") == "done" })
+	})
+}
+
+func TestProcessesBackWithinAFractionOfASecond(t *testing.T) {
+	// The owner; the candidate in the middle of its takeover; all at once.
+	story(t, func(t *testing.T, w *world) {
+		w.start("a")
+		w.start("b")
+		w.worker("m1", "north")
+		w.worker("m2", "south")
+		time.Sleep(10 * time.Second)
+		w.submit("a", spec("job-1", "standing", 4))
+		w.until(4*time.Second, "it runs", func() bool { return len(w.on("job-1/3")) == 1 })
+		again := func(n *node) {
+			n.kill()
+			time.Sleep(150 * time.Millisecond)
+			w.start(n.name)
+		}
+		settled := func() {
+			w.until(10*time.Second, "an owner", func() bool { return w.owner() != nil })
+			time.Sleep(6 * time.Second)
+		}
+		again(w.owner())
+		settled()
+		first := w.owner()
+		first.kill()
+		// The other takes over about a hold's life later, and ends right then.
+		w.until(5*time.Second, "a takeover", func() bool { return w.owner() != nil })
+		again(w.owner())
+		time.Sleep(100 * time.Millisecond)
+		w.start(first.name)
+		settled()
+		for _, n := range []*node{w.nodes["a"], w.nodes["b"]} {
+			n.kill()
+		}
+		w.start("a")
+		w.start("b")
+		settled()
+		w.submit("b", spec("job-2", "array", 2))
+		w.until(5*time.Second, "new work runs", func() bool { return len(w.on("job-2/1")) == 1 })
+		for _, task := range []string{"job-1/0", "job-1/1", "job-1/2", "job-1/3"} {
+			n := w.worn("m1").Started(task) + w.worn("m2").Started(task)
+			if n != 1 || len(w.on(task)) != 1 {
+				t.Errorf("%s was started %d times and is on %v", task, n, w.on(task))
+			}
+		}
+	})
+}
+
+func TestAMachineBackAtOnceUnderItsName(t *testing.T) {
+	// It lost its tasks and counts from the beginning again: what ran there
+	// must run again, once.
+	story(t, func(t *testing.T, w *world) {
+		w.start("a")
+		m1 := w.worker("m1", "north")
+		time.Sleep(10 * time.Second)
+		w.submit("a", spec("job-1", "array", 1))
+		w.until(4*time.Second, "it runs", func() bool { return len(w.on("job-1/0")) == 1 })
+		time.Sleep(5 * time.Second)
+		m1.SetSilent(true)
+		m1.End("job-1/0", "error") // it went with the machine
+		w.workers = nil
+		time.Sleep(200 * time.Millisecond)
+		w.worker("m1", "north")
+		w.worker("m2", "south")
+		w.until(60*time.Second, "it runs again", func() bool { return len(w.on("job-1/0")) == 1 })
+		w.hold(20*time.Second, "once", func() bool { return len(w.on("job-1/0")) == 1 })
+	})
+}
+
+func TestEveryAcceptedJobIsAnsweredForSoonAfterTroublesEnd(t *testing.T) {
+	// One unanswered for 75 s after that counts as forgotten, on any node.
+	story(t, func(t *testing.T, w *world) {
+		a, b := w.start("a"), w.start("b")
+		m1 := w.worker("m1", "north")
+		time.Sleep(10 * time.Second)
+		w.submit("a", spec("job-1", "array", 1))
+		w.submit("b", spec("job-2", "standing", 1))
+		w.submit("b", spec("job-3", "array", 9)) // more than there is room for
+		w.until(4*time.Second, "they run", func() bool { return len(w.on("job-1/0")) == 1 && len(w.on("job-2/0")) == 1 })
+		m1.End("job-1/0", "done")
+		w.until(5*time.Second, "done", func() bool { return w.status("a", "job-1") == "done" })
+		if code, _ := w.call("a", "POST", "/v2/runs/job-3/cancel", nil); code != 200 {
+			t.Fatalf("cancel answered %d", code)
+		}
+		w.store.SetDown(true)
+		time.Sleep(10 * time.Second)
+		a.kill()
+		b.kill()
+		time.Sleep(time.Second)
+		w.start("a")
+		w.start("b")
+		time.Sleep(30 * time.Second)
+		for _, n := range []string{"a", "b"} {
+			if code, _ := w.call(n, "GET", "/v2/runs/job-2", nil); code != 503 {
+				t.Fatalf("%s answered %d for what it cannot know in the outage", n, code)
+			}
+		}
+		w.store.SetDown(false)
+		want := map[string]string{"job-1": "done", "job-2": "running", "job-3": "cancelled"}
+		w.until(20*time.Second, "each node knows each job", func() bool {
+			for _, n := range []string{"a", "b"} {
+				for id, s := range want {
+					if w.status(n, id) != s {
+						return false
+					}
+				}
+			}
+			return true
+		})
+		for id, s := range want {
+			if code, out := w.call("b", "POST", "/v2/runs", spec(id, "array", 1)); code != 200 || out["status"] != s {
+				t.Errorf("a repeat of %s got %d %v", id, code, out)
+			}
+		}
+		w.hold(30*time.Second, "the cancelled one stays away", func() bool { return len(w.on("job-3/0")) == 0 && w.status("a", "job-3") == "cancelled" })
+	})
+}
--- a/internal/fake/net.go
+++ b/internal/fake/net.go
@@ -28,6 +28,8 @@
 	LoseAnswer
 	// Hold keeps the request back until Release; the caller hangs meanwhile.
 	Hold
+	// Copy delivers, and keeps a copy back until Release.
+	Copy
 )
 
 // Net joins hosts by name.
@@ -95,6 +97,22 @@
 	if h == nil || fate == Refuse {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errors.New("connection refused")}
 	}
+	late := func() {
+		// It reaches whoever listens there by then.
+		w.net.mu.Lock()
+		h := w.net.hosts[r.URL.Host]
+		w.net.mu.Unlock()
+		if h != nil {
+			in := httptest.NewRequest(r.Method, r.URL.String(), bytes.NewReader(body))
+			in.Header = r.Header.Clone()
+			h.ServeHTTP(httptest.NewRecorder(), in)
+		}
+	}
+	keep := func() {
+		w.net.mu.Lock()
+		w.net.held = append(w.net.held, late)
+		w.net.mu.Unlock()
+	}
 	deliver := func() *http.Response {
 		in := httptest.NewRequest(r.Method, r.URL.String(), bytes.NewReader(body))
 		in.Header = r.Header.Clone()
@@ -107,9 +125,10 @@
 	case LoseAnswer:
 		deliver()
 	case Hold:
-		w.net.mu.Lock()
-		w.net.held = append(w.net.held, func() { deliver() })
-		w.net.mu.Unlock()
+		keep()
+	case Copy:
+		keep()
+		return deliver(), nil
 	case Deliver:
 		return deliver(), nil
 	}
