--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -9,6 +9,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/state"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -630,3 +631,60 @@
 		t.Fatalf("returned %v after one question", gone)
 	}
 }
+
+func TestWhatOnlyThisOwnerKnowsIsStoredAtOnce(t *testing.T) {
+	// Outcomes wait for one another, since workers report them until they are
+	// cleared. That a machine is gone, the next owner would learn much later.
+	now := time.Now()
+	b := testBook()
+	b.hear("m1", "north", 1)
+	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 2, 1), now)
+	b.Plan(now)
+	c := &Committer{Book: b, State: state.NewClient("s", nil, state.NewBudget(100, 100, 1, 0.6))}
+	store := func() int {
+		group := c.collect()
+		for _, p := range group {
+			b.stored(p, p.job.stamp+1)
+		}
+		b.batches()
+		return len(group)
+	}
+	if store() != 1 {
+		t.Fatal("the marker is not stored at once")
+	}
+	b.roster.Machines["m1"].Lates = nil
+	b.hear("m1", "north", 2, worker.Piece{Task: "job-1/0", Attempt: 1, Status: worker.Ended, Cause: worker.CauseDone},
+		worker.Piece{Task: "job-1/1", Attempt: 1, Status: worker.Running})
+	if store() != 0 {
+		t.Fatal("an outcome that may wait is stored by itself")
+	}
+	b.MachineGone("m1", "returned")
+	if store() != 1 {
+		t.Fatal("that a machine is gone waits")
+	}
+}
+
+func TestAJobTooLargeForItsRecordSaysSoAndHoldsNoRoom(t *testing.T) {
+	now := time.Now()
+	b := fleet(t, 100)
+	limit := b.openLimit(&Job{})
+	gang := rec("job-1", "blue", High, limit+1, 1)
+	gang.Spec.Shape = Gang
+	b.Learn("job-1", 1, gang, now)
+	b.Learn("job-2", 2, rec("job-2", "blue", Normal, limit+50, 1), now)
+	b.Plan(now)
+	b.Plan(now)
+	if j := b.jobs["job-1"]; len(j.places) != 0 || !strings.Contains(j.waiting, "record") {
+		t.Errorf("the gang has %d places and waits for %q", len(j.places), j.waiting)
+	}
+	if j := b.jobs["job-2"]; len(j.places) != limit || !strings.Contains(j.waiting, "record") {
+		t.Errorf("the array has %d places, not %d, and waits for %q", len(j.places), limit, j.waiting)
+	}
+	// A record that comes out larger all the same gives up what has not
+	// started, and the job goes on in smaller batches.
+	b.unplaceable(b.jobs["job-2"])
+	b.Plan(now)
+	if n := len(b.jobs["job-2"].places); n == 0 || n > limit/2 {
+		t.Errorf("%d places after the record did not fit", n)
+	}
+}
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -151,7 +151,7 @@
 // want is how many machines' places a job's queued tasks call for, as a
 // fraction of each, and the share of the room in use now that will be free for
 // them in time: that hangs on how long what runs there takes (runs, by class),
-// not on how short the waiting job is.
+// not only on how short the waiting job is.
 func (b *Book) want(j *Job, runs map[string]float64) (slots, turn float64) {
 	s := &j.Rec.Spec
 	n := j.left() - len(j.places)
@@ -170,11 +170,7 @@
 		slots *= share
 	}
 	if s.Estimate > 0 {
-		takes := runs[s.Class]
-		if takes == 0 {
-			takes = float64(s.Estimate)
-		}
-		turn = min(1, b.horizon(j)/takes)
+		turn = min(1, b.horizon(j)/max(runs[s.Class], float64(s.Estimate)))
 	}
 	return slots, turn
 }
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -261,10 +261,14 @@
 		j.waiting = ""
 		return
 	}
-	may := min(pending, b.quota(s, pending), b.openLimit(j)-len(j.places))
+	quota, open := b.quota(s, pending), b.openLimit(j)-len(j.places)
+	may := min(pending, quota, open)
 	placed := 0
 	why := ""
-	if may <= 0 {
+	switch {
+	case open <= 0:
+		why = "as many of its tasks are under way as a record of the state service holds"
+	case quota <= 0:
 		why = "team " + s.Team + " is at its limit"
 		if b.yield(j, pending, now) {
 			why += "; lesser work of its own makes way"
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -288,6 +288,9 @@
 		b.redo(p, "machine lost", time.Now())
 	}
 	b.touch(j)
+	// The evidence may be the cloud's word to this process alone: stored late,
+	// a successor would have to wait for it anew before it starts the task.
+	b.hurry(j)
 	b.finishIfOver(j)
 }
 
--- a/internal/claim/survey.go
+++ b/internal/claim/survey.go
@@ -117,7 +117,7 @@
 			break
 		}
 	}
-	if top.h == nil || r != nil && r.avoid[top.h.name] || !top.m.Images.Has(v.ask.Image) && top.h.pulls[v.ask.Image] == nil {
+	if top.h == nil || r != nil && r.avoid[top.h.name] || !top.m.Images.Has(v.ask.Image) && (v.ask.Long || top.h.pulls[v.ask.Image] == nil) {
 		return nil
 	}
 	return top.h
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -113,6 +113,9 @@
 			s += 30
 		}
 	}
+	if m.Warm && !m.Holds {
+		s += a.ImageGB / max(m.Type.PullGBPerS, 0.01) / 2 // half of it is still to come
+	}
 	left := m.Free.Minus(a.Need)
 	s += 2 * (left.Cores/max(m.Type.Cores, 1) + left.RAM/max(m.Type.RAM, 1))
 	if a.Need.Accels == 0 && m.Type.Accels > 0 {
