--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -222,7 +222,7 @@
 func Defaults() *Operator {
 	return &Operator{
 		PoolHoldMs: 1500, BeatGraceS: 40, SampleMachines: 5, BackoffS: 5, BackoffMaxS: 60,
-		TrailEvents: 12, IdleReturnS: 25, StuckBootFactor: 2, OwnerShare: 0.6, FaultyAfter: 2,
+		TrailEvents: 12, IdleReturnS: 25, StuckBootFactor: 2, OwnerShare: 0.45, FaultyAfter: 2,
 		SpareShare: 0.15, BurstCostShare: 0.05,
 	}
 }
