--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -122,7 +122,6 @@
 	leaving    map[ids.Machine]bool // drained, taken back or to be returned
 	due        map[*host]bool       // have starts or stops to send
 	dirty      map[*Job]bool        // changed since they were last stored
-	roomier    uint64               // counts whenever room becomes free
 	looks      int                  // machines that planning looked at so far
 	lapsed     time.Time            // when lapses were last looked for
 	probedAt   time.Time            // when overdue machines were last looked for
--- a/internal/claim/hosts.go
+++ b/internal/claim/hosts.go
@@ -155,7 +155,6 @@
 		h.used, h.turn = placement.Room{}, placement.Room{} // no dust of rounding stays behind
 	}
 	b.shelve(h)
-	b.roomier++
 }
 
 // awaits notes that a task waits for its image on a machine, and arrived that
@@ -242,7 +241,7 @@
 	delete(b.due, h)
 }
 
-// seen is how placement sees a machine for an ask of a job.
+// sight is how placement sees a machine for an ask of a job.
 func (b *Book) sight(h *host, m *worker.Machine, j *Job, r *retry, now time.Time) placement.Machine {
 	s := &j.Rec.Spec
 	p := placement.Machine{Name: h.name, Type: h.shelf.t, Zone: m.Zone, Spot: m.Spot, Going: m.Going, Free: h.free(), Pulls: len(h.pulls)}
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -23,7 +23,6 @@
 	shape    Shape
 	want     []int // tasks wanted at once, one sample a second
 	ran      []int // tasks placed at once
-	at       time.Time
 	now      int
 	busy     int
 }
