A session lasts a lease from when it is first heard, even if no beat is answered

Ruled out: late copies, clocks, the takeover's wait. The first report of a session, however it comes, now holds its lapse off for a lease.

--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -75,6 +75,7 @@
 	nodes   map[string]*node
 	workers []*fake.Worker
 	lives   int
+	listed  bool // the owner is told the machines by the cloud's list
 }
 
 type node struct {
@@ -113,7 +114,13 @@
 	n.pool.Peers = n
 	n.pool.OnTerm = func(ctx context.Context, t *claim.Term) {
 		t.Book.SetTypes(types())
-		<-ctx.Done()
+		for ctx.Err() == nil {
+			t.Book.List(w.list(), time.Now())
+			select {
+			case <-ctx.Done():
+			case <-time.After(2 * time.Second):
+			}
+		}
 	}
 	n.desk = &intake.Desk{Set: set, State: st, Jobs: n.pool.Jobs(), Teller: n, Writer: writer, Types: types}
 	w.net.Listen(name+":8080", (&intake.Site{Desk: n.desk, Beats: n.pool, Ready: func() bool { return true },
@@ -126,6 +133,16 @@
 	return n
 }
 
+// list is the cloud's, in stories that have one.
+func (w *world) list() (ls []claim.Listed) {
+	if w.listed {
+		for _, k := range w.workers {
+			ls = append(ls, claim.Listed{Name: ids.Machine(k.Name), Addr: k.Addr, Type: k.Type, Zone: k.Zone, Status: "running"})
+		}
+	}
+	return ls
+}
+
 func types() []placement.Type {
 	return []placement.Type{{Label: "small", Cores: 4, RAM: 16, CacheGB: 20, PullGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 30, Zones: []string{"north", "south"}}}
 }
--- a/internal/worker/roster.go
+++ b/internal/worker/roster.go
@@ -113,6 +113,11 @@
 		return Verdict{}
 	}
 	v := Verdict{Fresh: true, Moved: m.Heard && rep.Session > m.Session}
+	if !m.Heard || v.Moved {
+		// The session may have begun just now, and lasts a lease from then on
+		// even if none of its beats is ever answered.
+		m.LapseAt = later(m.LapseAt, now.Add(r.lease.Drifted()))
+	}
 	m.Heard, m.Booting = true, false
 	m.Addr, m.Type, m.Zone, m.Spot = rep.Addr, rep.Type, rep.Zone, rep.Spot
 	m.Session, m.Tick, m.Seen, m.Probes = rep.Session, rep.Tick, now, 0
--- a/internal/worker/worker_test.go
+++ b/internal/worker/worker_test.go
@@ -39,6 +39,28 @@
 	}
 }
 
+func TestASessionLastsALeaseEvenIfNoBeatOfItIsAnswered(t *testing.T) {
+	// Guards against a machine that only answers questions, since its beats find
+	// no way: its lease was taken to have lapsed before it began, and its tasks
+	// were started a second time.
+	now := time.Now()
+	r := NewRoster(20)
+	m := r.Ensure("m", now, now.Add(-time.Minute))
+	r.Note(m, &Report{Session: 1, Tick: 1}, now, false, 4)
+	if d := m.LapseAt.Sub(now); d < 20*time.Second {
+		t.Errorf("heard for the first time, it lapses in %v", d)
+	}
+	now = now.Add(30 * time.Second)
+	r.Note(m, &Report{Session: 1, Tick: 2}, now, false, 4)
+	if m.LapseAt.After(now) {
+		t.Error("an answer to a question renewed the lease")
+	}
+	r.Note(m, &Report{Session: 2, Tick: 3}, now, false, 4)
+	if d := m.LapseAt.Sub(now); d < 20*time.Second {
+		t.Errorf("in a new session, it lapses in %v", d)
+	}
+}
+
 func TestDirectCommandsTellNotSentFromUncertain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := fake.NewNet()
