Beats are answered no longer than cancel_s allows: grace bounded by it

The owner was cut off with the zone: it answered its workers for 40 s, their leases then lasted 45 more, and cancel_s is 65. Ruled out: held packets (the cut was not over), a new session, a late start.

--- a/internal/claim/pool.go
+++ b/internal/claim/pool.go
@@ -241,7 +241,7 @@
 func (p *Pool) begin(ctx context.Context, gen ids.Generation, writer string, hold ids.Hold, stamp ids.Stamp, sent time.Time) {
 	now := time.Now()
 	w := &p.Set.Params.Workers
-	trust := now.Add(ids.Seconds(p.Set.Own.BeatGraceS).Drifted() + w.LeaseS.Drifted())
+	trust := now.Add(p.Set.Grace().Drifted() + w.LeaseS.Drifted())
 	b := NewBook(p.Set, writer, gen, trust)
 	fresh := time.Duration(p.Set.Own.PoolHoldMs) * time.Millisecond / 2
 	b.Storing = func() bool {
@@ -486,7 +486,7 @@
 func (p *Pool) entitled(t *Term) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.term == t && time.Since(t.renewed) < ids.Seconds(p.Set.Own.BeatGraceS).Duration()
+	return p.term == t && time.Since(t.renewed) < p.Set.Grace().Duration()
 }
 
 // Beat answers a worker's report: a reply, or else a status and redirect.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -94,6 +94,17 @@
 	MaxSockets int     `toml:"max_sockets"`
 }
 
+// Grace is how long an owner answers beats after its last good renewal. Cut off
+// together with a zone, it may keep tasks there alive that a user has cancelled
+// through another node meanwhile: they must be gone, by the lease that its last
+// answer gave them, within cancel_s of that.
+func (s *Settings) Grace() ids.Seconds {
+	w := &s.Params.Workers
+	hold := ids.Seconds(float64(s.Own.PoolHoldMs) / 1000)
+	most := w.CancelS - ids.Seconds(w.LeaseS.Drifted().Seconds()) - 2*hold
+	return max(hold, min(ids.Seconds(s.Own.BeatGraceS), most))
+}
+
 // Load reads and checks both files; ownPath may be empty.
 func Load(path, ownPath string) (*Settings, error) {
 	raw, err := os.ReadFile(path)
