Sockets by need; silent machines hold no sends; deletions sure; all peers asked at once

Now callers have what the calls of our own leave, users what the workers leave, the last places are answered once and closed, silent connections go after three report intervals; a machine holds one send, a doubtful one none, and what was only marked for it goes elsewhere; questions take turns, replicas first; a deletion or hire asks right before it is sent whether the hold still lasts. Found harmless and left: calls of the polls' rounds and watches (55 of 350 a second with seven nodes, 40 of 180 with five); the walks of needs and renting (0.4 ms at the median, 3 ms at most at 1,251 machines, four times a second).

--- a/cmd/pebbletrail/serve.go
+++ b/cmd/pebbletrail/serve.go
@@ -78,13 +78,14 @@
 	st := state.NewClient(set.Services.State, client(16, 16),
 		state.NewBudget(set.Params.State.RPS, set.Params.State.WriteRPS, nodes, set.Own.OwnerShare))
 	cloud := fleet.NewCloud(set.Services.Cloud, client(4, 4), set.Params.Cloud.RPS)
-	commander := &worker.Commander{HTTP: client(2, max(8, lim.MaxSockets/3)), Timeout: 3 * time.Second}
+	places := set.Sockets()
+	commander := &worker.Commander{HTTP: client(2, places.Direct/2), Timeout: 3 * time.Second}
 	pool := claim.NewPool(set, st, commander, incarnation)
 	link := peer.NewLink(set, pool, st)
 	pool.Peers = link
 	offer := &offer{cloud: cloud, pool: pool}
 	pool.OnTerm = func(ctx context.Context, t *claim.Term) {
-		k := &fleet.Keeper{Cloud: cloud, Book: t.Book, Store: t.Committer, Gen: t.Gen,
+		k := &fleet.Keeper{Cloud: cloud, Book: t.Book, Store: t.Committer, Gen: t.Gen, Sure: func() bool { return pool.Sure(t) },
 			ListEvery: max(2*time.Second, set.Params.Cloud.ListLagS.Duration()/2)}
 		if ts := offer.known(); len(ts) > 0 {
 			t.Book.SetTypes(ts)
@@ -127,7 +128,14 @@
 		}
 	}()
 	go pool.Run(ctx)
-	return site.Serve(users, max(16, lim.MaxSockets/2))
+	fleet := func() int {
+		if b := pool.Book(); b != nil {
+			return b.Machines()
+		}
+		return 0
+	}
+	return site.Serve(users, &intake.Door{Most: places.Callers, Fleet: fleet,
+		Idle: max(20*time.Second, 3*set.Params.Workers.ReportS.Duration()+5*time.Second)})
 }
 
 // probe keeps the node's view of the state service fresh when nothing else
--- a/internal/claim/apart_test.go
+++ b/internal/claim/apart_test.go
@@ -1,6 +1,7 @@
 package claim_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,6 +10,288 @@
 	"github.com/pebbletrail/pebbletrail/internal/fake"
 )
 
+// touches tells whether a request goes between two hosts, in either direction;
+// names end where a port begins.
+func touches(from, to, x, y string) bool {
+	is := func(host, name string) bool { return host == name || strings.HasPrefix(host, name+":") }
+	return is(from, x) && is(to, y) || is(from, y) && is(to, x)
+}
+
+func (w *world) everywhere(job string, tasks int) bool {
+	for i := range tasks {
+		if len(w.on(fmt.Sprintf("%s/%d", job, i))) != 1 {
+			return false
+		}
+	}
+	return true
+}
+
+func TestAZoneCutBeyondTheLeaseWithTheOwnerEndedMeanwhile(t *testing.T) {
+	// Guards against what the zone's held reports, commands and answers do when
+	// they arrive afterwards: its tasks ended with their leases and run elsewhere
+	// or anew, and what ran in the other zone never stopped.
+	story(t, func(t *testing.T, w *world) {
+		w.listed = true
+		w.start("a")
+		w.start("b")
+		for _, m := range []string{"n1", "n2"} {
+			w.worker(m, "north")
+		}
+		for _, m := range []string{"s1", "s2"} {
+			w.worker(m, "south")
+		}
+		time.Sleep(10 * time.Second)
+		s := spec("job-1", "standing", 4)
+		s["spread"], s["urgency"] = true, "critical"
+		w.submit("a", s)
+		w.until(5*time.Second, "replicas run", func() bool { return w.everywhere("job-1", 4) })
+		w.submit("b", spec("job-2", "array", 4))
+		w.until(5*time.Second, "tasks run", func() bool { return w.everywhere("job-2", 4) })
+		var north []string
+		for _, k := range w.workers[:2] {
+			north = append(north, k.Live()...)
+		}
+		time.Sleep(5 * time.Second)
+		w.net.SetRule(func(from, to string, _ *http.Request, _ []byte) fake.Fate {
+			for _, h := range []string{from, to} {
+				if strings.HasPrefix(h, "s1:") || strings.HasPrefix(h, "s2:") {
+					return fake.Hold
+				}
+			}
+			return fake.Deliver
+		})
+		time.Sleep(4 * time.Second)
+		w.submit("a", spec("job-3", "array", 4)) // over the limit until the others are gone
+		old := w.owner()
+		old.kill()
+		time.Sleep(4 * time.Second)
+		w.start(old.name)
+		w.hold(32*time.Second, "work in the other zone goes on", func() bool {
+			for _, task := range north {
+				if len(w.on(task)) == 0 {
+					return false
+				}
+			}
+			return true
+		})
+		w.net.SetRule(nil)
+		if w.net.Release() < 10 {
+			t.Fatal("nothing was held back")
+		}
+		w.until(30*time.Second, "all replicas run again", func() bool { return w.everywhere("job-1", 4) })
+		for _, job := range []string{"job-2", "job-3"} {
+			w.until(90*time.Second, job+" runs", func() bool {
+				for _, k := range w.workers {
+					for _, task := range k.Live() {
+						if !strings.HasPrefix(task, "job-1/") {
+							k.End(task, "done")
+						}
+					}
+				}
+				return w.status("a", job) == "done" && w.status("b", job) == "done"
+			})
+		}
+		for _, task := range north {
+			if n := w.worn("n1").Started(task) + w.worn("n2").Started(task); n != 1 {
+				t.Errorf("%s, which nothing had happened to, was started %d times", task, n)
+			}
+		}
+	})
+}
+
+func TestAnOwnerThatStoodStillIsTurnedAway(t *testing.T) {
+	// Guards against an owner that stands still with a start, its answers and its
+	// writes on their way: a successor works meanwhile, then they arrive.
+	story(t, func(t *testing.T, w *world) {
+		w.listed = true
+		w.start("a")
+		w.start("b")
+		w.worker("m1", "north")
+		w.worker("m2", "south")
+		time.Sleep(10 * time.Second)
+		old := w.owner()
+		other := map[string]string{"a": "b", "b": "a"}[old.name]
+		w.net.SetRule(func(from, _ string, _ *http.Request, body []byte) fake.Fate {
+			if from == old.name && strings.Contains(string(body), `"verb":"start"`) {
+				return fake.Hold // the start, as the owner stops
+			}
+			return fake.Deliver
+		})
+		w.submit(old.name, spec("job-1", "array", 1))
+		time.Sleep(60 * time.Millisecond)
+		still := func(from, to string, _ *http.Request, _ []byte) fake.Fate {
+			if from == old.name || strings.HasPrefix(to, old.name+":") || to == old.name {
+				return fake.Hold
+			}
+			return fake.Deliver
+		}
+		w.net.SetRule(still)
+		w.until(8*time.Second, "a successor", func() bool {
+			return w.nodes[other].pool.Book() != nil
+		})
+		w.until(30*time.Second, "the job runs", func() bool { return len(w.on("job-1/0")) == 1 })
+		w.submit(other, spec("job-2", "array", 3))
+		w.until(5*time.Second, "new work runs", func() bool { return w.everywhere("job-2", 3) })
+		time.Sleep(12 * time.Second)
+		w.net.SetRule(nil)
+		if w.net.Release() == 0 {
+			t.Fatal("nothing was held back")
+		}
+		w.until(3*time.Second, "the old owner knows", func() bool { return old.pool.Book() == nil })
+		w.hold(25*time.Second, "what runs goes on", func() bool { return w.everywhere("job-2", 3) && len(w.on("job-1/0")) == 1 })
+		for _, task := range []string{"job-1/0", "job-2/0", "job-2/1", "job-2/2"} {
+			if n := w.worn("m1").Started(task) + w.worn("m2").Started(task); n != 1 {
+				t.Errorf("%s was started %d times", task, n)
+			}
+		}
+	})
+}
+
+func TestAnOwnerIsSureOnlyWithinItsHold(t *testing.T) {
+	// The cloud's deletions rest on it: they carry no token.
+	story(t, func(t *testing.T, w *world) {
+		a := w.start("a")
+		time.Sleep(5 * time.Second)
+		term := a.pool.Term()
+		if term == nil || !a.pool.Sure(term) {
+			t.Fatal("an owner that renews is not sure")
+		}
+		w.net.SetRule(func(from, to string, _ *http.Request, _ []byte) fake.Fate {
+			if from == "a" && to == "state:1" {
+				return fake.Swallow
+			}
+			return fake.Deliver
+		})
+		time.Sleep(1600 * time.Millisecond)
+		if a.pool.Sure(term) {
+			t.Error("an owner whose hold may have run out is sure")
+		}
+		w.net.SetRule(nil)
+	})
+}
+
+func TestAnOwnerCutFromTheStateAloneThenFromTheWorkersAlone(t *testing.T) {
+	// The controllers refuse one another all the while.
+	story(t, func(t *testing.T, w *world) {
+		w.listed = true
+		w.start("a")
+		w.start("b")
+		w.worker("m1", "north")
+		w.worker("m2", "south")
+		time.Sleep(10 * time.Second)
+		w.submit("b", spec("job-1", "standing", 4))
+		w.until(5*time.Second, "replicas run", func() bool { return w.everywhere("job-1", 4) })
+		cut := func(node string, what ...string) {
+			w.net.SetRule(func(from, to string, _ *http.Request, _ []byte) fake.Fate {
+				if touches(from, to, "a", "b") {
+					return fake.Refuse
+				}
+				for _, x := range what {
+					if touches(from, to, node, x) {
+						return fake.Hold
+					}
+				}
+				return fake.Deliver
+			})
+		}
+		first := w.owner()
+		cut(first.name, "state")
+		other := map[string]string{"a": "b", "b": "a"}[first.name]
+		w.until(6*time.Second, "the other owns the pool", func() bool { return w.nodes[other].pool.Book() != nil })
+		w.hold(30*time.Second, "replicas go on", func() bool { return w.everywhere("job-1", 4) })
+		w.submit(other, spec("job-2", "array", 2))
+		w.until(6*time.Second, "new work runs", func() bool { return w.everywhere("job-2", 2) })
+		w.net.SetRule(nil)
+		w.net.Release()
+		time.Sleep(5 * time.Second)
+		second := w.owner()
+		cut(second.name, "m1", "m2")
+		w.hold(35*time.Second, "nothing runs twice", func() bool { return true })
+		w.net.SetRule(nil)
+		w.net.Release()
+		time.Sleep(15 * time.Second) // what was held is over, and a session begun in the cut may lapse
+		w.until(45*time.Second, "all runs", func() bool { return w.everywhere("job-1", 4) && w.everywhere("job-2", 2) })
+		w.hold(25*time.Second, "and goes on", func() bool { return w.everywhere("job-1", 4) && w.everywhere("job-2", 2) })
+	})
+}
+
+func TestAllControllersBackAtOnceAmidAnElectionWithLateCopies(t *testing.T) {
+	// Guards against copies of reports and repeats of submissions and cancels,
+	// carried out long ago, that arrive at processes which know of nothing yet.
+	story(t, func(t *testing.T, w *world) {
+		w.listed = true
+		w.start("a")
+		w.start("b")
+		m1 := w.worker("m1", "north")
+		w.worker("m2", "south")
+		time.Sleep(10 * time.Second)
+		w.net.SetRule(func(from, _ string, r *http.Request, _ []byte) fake.Fate {
+			if r.Method == "POST" && (from == "user" || r.URL.Path == "/agent/beat") {
+				return fake.Copy
+			}
+			return fake.Deliver
+		})
+		w.submit("a", spec("job-1", "array", 2))
+		w.submit("b", spec("job-2", "standing", 2))
+		w.submit("b", spec("job-3", "standing", 2))
+		w.until(5*time.Second, "they run", func() bool {
+			return w.everywhere("job-1", 2) && w.everywhere("job-2", 2) && w.everywhere("job-3", 2)
+		})
+		time.Sleep(5 * time.Second)
+		if code, _ := w.call("a", "POST", "/v2/runs/job-3/cancel", nil); code != 200 {
+			t.Fatalf("cancel answered %d", code)
+		}
+		for _, k := range w.workers {
+			k.End("job-1/0", "done")
+			k.End("job-1/1", "done")
+		}
+		w.until(8*time.Second, "done and cancelled", func() bool {
+			return w.status("a", "job-1") == "done" && w.status("b", "job-3") == "cancelled" && len(w.on("job-3/0")) == 0
+		})
+		time.Sleep(8 * time.Second)
+		w.net.SetRule(nil)
+		both := func() {
+			for _, name := range []string{"a", "b"} {
+				if n := w.nodes[name]; n != nil {
+					n.kill()
+				}
+			}
+			time.Sleep(150 * time.Millisecond)
+			w.start("a")
+			w.start("b")
+		}
+		both()
+		time.Sleep(300 * time.Millisecond)
+		both() // in the middle of the election
+		time.Sleep(200 * time.Millisecond)
+		if w.net.Release() < 8 {
+			t.Fatal("no copies were kept")
+		}
+		m1.SetSilent(false)
+		w.until(10*time.Second, "an owner", func() bool { return w.owner() != nil })
+		want := map[string]string{"job-1": "done", "job-2": "running", "job-3": "cancelled"}
+		w.until(20*time.Second, "each node knows each job", func() bool {
+			for id, s := range want {
+				if w.status("a", id) != s || w.status("b", id) != s {
+					return false
+				}
+			}
+			return true
+		})
+		w.hold(30*time.Second, "nothing old begins, nothing stops", func() bool {
+			return w.everywhere("job-2", 2) && len(w.on("job-1/0"))+len(w.on("job-1/1"))+len(w.on("job-3/0"))+len(w.on("job-3/1")) == 0
+		})
+		for _, job := range []string{"job-1", "job-2", "job-3"} {
+			for i := range 2 {
+				task := fmt.Sprintf("%s/%d", job, i)
+				if n := w.worn("m1").Started(task) + w.worn("m2").Started(task); n != 1 {
+					t.Errorf("%s was started %d times", task, n)
+				}
+			}
+		}
+	})
+}
+
 func TestAMachineWhoseBeatsFindNoWay(t *testing.T) {
 	// Found by a day with half as many machines again: the controllers had no
 	// sockets left for new workers, which answered questions all the same.
--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/config"
@@ -146,6 +147,7 @@
 	emptying     ids.Machine // its services are being moved elsewhere
 	emptyingAt   time.Time
 	returned     map[ids.Machine]bool // deletions the cloud confirmed
+	size         atomic.Int64         // machines, as last counted
 
 	// Storing tells whether the state service has answered just now. While it
 	// does not, nothing that is stopped could be started again, so nothing is
@@ -536,6 +538,10 @@
 	b.trustSilence = at
 }
 
+// Machines is how many machines there are, as far as this owner knows. It takes
+// no lock: every user's call asks.
+func (b *Book) Machines() int { return int(b.size.Load()) }
+
 // Summary counts what the owner has, for operators.
 func (b *Book) Summary() map[string]any {
 	b.mu.Lock()
--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -42,7 +42,7 @@
 	for _, j := range b.jobs {
 		j.saved = j.version
 	}
-	b.batches()
+	b.batches(1000)
 }
 
 func TestTheTransitionTableHasNoWayOutOfAnEnd(t *testing.T) {
@@ -431,7 +431,7 @@
 	for _, j := range b.jobs {
 		j.saved = j.version
 	}
-	bas := b.batches()
+	bas := b.batches(1000)
 	if len(bas) != 1 {
 		t.Fatalf("%d batches for one task", len(bas))
 	}
@@ -496,7 +496,7 @@
 // startsFor lists the machines that get a start now.
 func (b *Book) startsFor() map[ids.Machine]bool {
 	out := map[ids.Machine]bool{}
-	for _, ba := range b.batches() {
+	for _, ba := range b.batches(1000) {
 		for _, o := range ba.orders {
 			out[ba.machine] = out[ba.machine] || o.Verb == "start"
 		}
@@ -646,7 +646,7 @@
 		for _, p := range group {
 			b.stored(p, p.job.stamp+1)
 		}
-		b.batches()
+		b.batches(1000)
 		return len(group)
 	}
 	if store() != 1 {
--- a/internal/claim/dispatch.go
+++ b/internal/claim/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
@@ -17,23 +18,50 @@
 	orders  []worker.Order
 }
 
-// batches takes what may go out now: starts whose marker is stored, and stops.
-// It notes each start as outstanding before it is sent.
-func (b *Book) batches() []batch {
+// starts tells whether the batch begins an attempt.
+func (ba *batch) starts(task string, a ids.Attempt) bool {
+	return slices.ContainsFunc(ba.orders, func(o worker.Order) bool {
+		return o.Verb == "start" && o.Task == task && o.Attempt == a
+	})
+}
+
+// batches takes what may go out now, for at most free machines: starts whose
+// marker is stored, and stops. It notes each start as outstanding before it is
+// sent. What finds no room stays due.
+//
+// A machine holds at most one send at a time, and one that leaves calls
+// unanswered none at all: hundreds of silent machines must not keep living ones
+// waiting. Its next beat, or its answer to a question, gets what it is owed.
+func (b *Book) batches(free int) []batch {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.lost {
 		return nil
 	}
 	now := time.Now()
-	var out []batch
+	var due []*host
 	for h := range b.due {
+		m := b.roster.Machines[h.name]
+		switch {
+		case m == nil || !m.Heard || m.Addr == "" || m.Deleting || m.Doubtful():
+			delete(b.due, h) // due again once it is heard
+		case !m.Sending: // else the answer under way looks again
+			due = append(due, h)
+		}
+	}
+	if free <= 0 {
+		return nil
+	}
+	// Of a loss not noticed yet, the lost were heard longest ago.
+	slices.SortFunc(due, func(x, y *host) int { return b.roster.Machines[y.name].Seen.Compare(b.roster.Machines[x.name].Seen) })
+	var out []batch
+	for _, h := range due {
+		if len(out) >= free {
+			break
+		}
 		delete(b.due, h)
 		name := h.name
 		m := b.roster.Machines[name]
-		if m == nil || !m.Heard || m.Addr == "" || m.Deleting {
-			continue // due again once it is heard
-		}
 		ba := batch{machine: name, addr: m.Addr, session: m.Session, token: b.gen}
 		for p := range h.places {
 			if p.Session != m.Session {
@@ -58,6 +86,7 @@
 			}
 		}
 		if len(ba.orders) > 0 {
+			m.Sending = true
 			out = append(out, ba)
 		}
 	}
@@ -79,21 +108,23 @@
 	if m == nil {
 		return
 	}
-	m.Reached(how == worker.Carried || how == worker.Refused, time.Now())
+	m.Sending = false
+	if how == worker.NotSent {
+		// Nothing of it can arrive later, so what it would have started is only
+		// marked again.
+		for p := range b.placesOn(ba.machine) {
+			if p.sent && !p.seen && !p.offered && p.Session == ba.session && p.Token == ba.token && ba.starts(p.Task().String(), p.Attempt) {
+				p.sent = false
+			}
+		}
+	}
+	b.reached(m, how == worker.Carried || how == worker.Refused)
 	if how == worker.Uncertain {
 		return // outstanding until shown, or turned away by session or token
 	}
 	kept := m.Lates[:0]
 	for _, l := range m.Lates {
-		ours := l.Session == ba.session && l.Token == ba.token
-		if ours {
-			ours = false
-			for _, o := range ba.orders {
-				if o.Verb == "start" && o.Task == l.Task && o.Attempt == l.Attempt {
-					ours = true
-				}
-			}
-		}
+		ours := l.Session == ba.session && l.Token == ba.token && ba.starts(l.Task, l.Attempt)
 		if !ours {
 			kept = append(kept, l)
 		}
@@ -127,19 +158,16 @@
 		case <-time.After(200 * time.Millisecond):
 		}
 		d.probe(ctx)
-		for _, ba := range d.Book.batches() {
-			select {
-			case <-ctx.Done():
-				return
-			case d.slots <- struct{}{}:
-			}
+		for _, ba := range d.Book.batches(cap(d.slots) - len(d.slots)) {
+			d.slots <- struct{}{} // only this loop takes slots, so one is free
 			go func() {
-				defer func() { <-d.slots }()
 				how, rep := d.Commander.Send(ctx, ba.addr, ba.token, ba.session, ba.orders)
+				<-d.slots
 				d.Book.answered(ba, how)
 				if rep != nil && rep.Machine == ba.machine {
 					d.Book.Observe(rep, false, false)
 				}
+				d.Wake() // a slot is free, and more may be due there
 			}()
 		}
 	}
@@ -195,51 +223,105 @@
 		return nil
 	}
 	b.probedAt = now
+	var ask []*worker.Machine
 	for _, m := range b.roster.Machines {
-		if b.probing >= most {
-			break
-		}
-		overdue := b.askAfter(m)
 		if m.Deleting || m.Probing || m.Addr == "" {
 			continue
 		}
-		if m.Heard && (m.Silent(now) > overdue || !m.Unreached.IsZero()) && now.Sub(m.Asked) > overdue/2 || !m.Heard && !m.Booting && now.Sub(m.Asked) > time.Second {
-			m.Probing, m.Asked = true, now
-			b.probing++
-			if m.Probes == 0 {
-				m.Doubted = now
-			}
-			pr := probe{machine: m.Name, addr: m.Addr, token: b.gen}
-			if !m.Heard {
-				pr.session = m.Hinted
+		overdue := b.askAfter(m)
+		again := overdue / 2
+		if !m.Heard {
+			again = time.Second
+		}
+		if m.Probes >= keenProbes {
+			// Whoever left so many questions unanswered is judged already; its
+			// worker reports by itself once it is back.
+			again = max(again, b.set.Params.Workers.ReportS.Duration()/2)
+		}
+		if now.Sub(m.Asked) > again && (m.Heard && (m.Silent(now) > overdue || !m.Unreached.IsZero()) || !m.Heard && !m.Booting) {
+			ask = append(ask, m)
+		}
+	}
+	// Those with replicas first, then whoever waits longest: hundreds that are
+	// silent take turns.
+	slices.SortFunc(ask, func(x, y *worker.Machine) int {
+		if sx, sy := b.stays(x), b.stays(y); sx != sy {
+			if sx {
+				return -1
 			}
-			out = append(out, pr)
+			return 1
 		}
+		return x.Asked.Compare(y.Asked)
+	})
+	for _, m := range ask[:max(0, min(len(ask), most-b.probing))] {
+		m.Probing, m.Asked = true, now
+		b.probing++
+		if m.Probes == 0 {
+			m.Doubted = now
+		}
+		pr := probe{machine: m.Name, addr: m.Addr, token: b.gen}
+		if !m.Heard {
+			pr.session = m.Hinted
+		}
+		out = append(out, pr)
 	}
 	return out
 }
 
+// keenProbes is how many questions in a row are asked closely after another.
+const keenProbes = 4
+
+// stays tells whether replicas run on a machine.
+func (b *Book) stays(m *worker.Machine) bool {
+	h := b.hosts[m.Name]
+	return h != nil && h.stay > 0
+}
+
 // askAfter is the silence after which a machine is asked how it is. Where
 // replicas run, nobody waits long for a report: while a machine hangs, they are
 // down, and reports may be far apart.
 func (b *Book) askAfter(m *worker.Machine) time.Duration {
 	after := b.set.Params.Workers.ReportS.Duration() / 2
-	if h := b.hosts[m.Name]; h != nil && h.stay > 0 {
+	if b.stays(m) {
 		after = min(after, believed*5/8)
 	}
 	return after
 }
 
+// reached takes in whether a machine answered a call. One that did gets what it
+// is owed; one that did not loses what was only marked for it: no start of that
+// went out, so it may go elsewhere at once.
+func (b *Book) reached(m *worker.Machine, answered bool) {
+	doubted := m.Doubtful()
+	m.Reached(answered, time.Now())
+	h := b.hosts[m.Name]
+	if h == nil {
+		return
+	}
+	if answered {
+		if doubted {
+			b.due[h] = true
+		}
+		return
+	}
+	for p := range h.places {
+		if !p.sent && !p.stopping {
+			b.dropPlace(p)
+			b.touch(p.Job)
+		}
+	}
+}
+
 func (b *Book) probed(name ids.Machine, answered bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.probing--
 	if m := b.roster.Machines[name]; m != nil {
 		m.Probing = false
-		m.Reached(answered, time.Now())
 		if !answered {
 			m.Probes++
 		}
+		b.reached(m, answered)
 	}
 }
 
--- a/internal/claim/pool.go
+++ b/internal/claim/pool.go
@@ -100,7 +100,7 @@
 	go p.jobs.Run(ctx)
 	life := time.Duration(p.Set.Own.PoolHoldMs) * time.Millisecond
 	for ctx.Err() == nil {
-		if t := p.current(); t != nil {
+		if t := p.Term(); t != nil {
 			// A renewal that hangs must not delay the next.
 			go p.keep(ctx, t)
 			wait(ctx, life/5)
@@ -117,7 +117,8 @@
 	}
 }
 
-func (p *Pool) current() *Term {
+// Term is the present term, if this node owns the pool.
+func (p *Pool) Term() *Term {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.term
@@ -125,7 +126,7 @@
 
 // Book is the book of the present term, if this node owns the pool.
 func (p *Pool) Book() *Book {
-	if t := p.current(); t != nil {
+	if t := p.Term(); t != nil {
 		return t.Book
 	}
 	return nil
@@ -133,7 +134,7 @@
 
 // Owner is who owns the pool as far as this node knows.
 func (p *Pool) Owner() (ids.Node, bool) {
-	if p.current() != nil {
+	if p.Term() != nil {
 		return p.Set.HostName, true
 	}
 	e, found, ready := p.mirror.Get(OwnerKey)
@@ -251,7 +252,7 @@
 	tctx, cancel := context.WithCancel(ctx)
 	t := &Term{Gen: gen, Book: b, hold: hold, renewed: sent, loaded: make(chan struct{}), cancel: cancel}
 	t.Committer = NewCommitter(b, p.State, p.Set.HostName, stamp)
-	t.Dispatcher = NewDispatcher(b, p.Commander, max(4, p.Set.Params.Limits.MaxSockets/16))
+	t.Dispatcher = NewDispatcher(b, p.Commander, p.Set.Sockets().Direct/4)
 	t.Committer.OnLost = func(why string) { go p.stepDown(t, why) }
 	t.Committer.OnStored = t.Dispatcher.Wake
 	p.State.Budget().SetOwner(true)
@@ -431,7 +432,7 @@
 // those are most of the machines, this node is cut off from the workers and
 // gives the pool up, at once and for a while, to one that is not.
 func (p *Pool) Reconsider(stranded []ids.Machine) {
-	t := p.current()
+	t := p.Term()
 	if t == nil || len(stranded) == 0 || !t.Book.cutOff(stranded, time.Now()) {
 		return
 	}
@@ -449,7 +450,7 @@
 // Superseded is told by a peer of a higher generation; the answer confirms
 // that this node answers no beats under an older one.
 func (p *Pool) Superseded(gen ids.Generation) bool {
-	if t := p.current(); t != nil {
+	if t := p.Term(); t != nil {
 		if t.Book.Generation() >= gen {
 			return false
 		}
@@ -489,9 +490,18 @@
 	return p.term == t && time.Since(t.renewed) < p.Set.Grace().Duration()
 }
 
+// Sure tells whether no other node can own the pool: its hold, counted from when
+// the last good renewal was sent, has not run out by this node's clock.
+func (p *Pool) Sure(t *Term) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	life := time.Duration(p.Set.Own.PoolHoldMs) * time.Millisecond
+	return p.term == t && time.Since(t.renewed) < life-life/100
+}
+
 // Beat answers a worker's report: a reply, or else a status and redirect.
 func (p *Pool) Beat(ctx context.Context, rep *worker.Report) (*worker.Reply, int, worker.Redirect) {
-	t := p.current()
+	t := p.Term()
 	if t == nil {
 		if node, ok := p.Owner(); ok {
 			p.noteRedirect(rep.Machine)
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -30,6 +30,7 @@
 	hadNotice := !m.TakenAt.IsZero()
 	moved := m.Type != rep.Type || m.Zone != rep.Zone || m.Spot != rep.Spot
 	idle := m.Heard && !m.Usable(now, b.set.Params.Workers.ReportS)
+	doubted := m.Doubtful()
 	v := b.roster.Note(m, rep, now, answered, b.gen)
 	if !v.Fresh {
 		return nil
@@ -39,8 +40,8 @@
 		b.shelve(h)
 		b.hinted(m)
 	}
-	if firstHeard || v.Moved {
-		b.due[h] = true // what was placed there before may go out now
+	if firstHeard || v.Moved || doubted {
+		b.due[h] = true // what was held back or placed there before may go out now
 	}
 	if idle {
 		poke(b.wakePlan)
@@ -349,6 +350,7 @@
 		return
 	}
 	b.lapsed = now
+	b.size.Store(int64(len(b.roster.Machines)))
 	for name, h := range b.hosts {
 		if len(h.places) == 0 {
 			continue
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -94,6 +94,25 @@
 	MaxSockets int     `toml:"max_sockets"`
 }
 
+// Sockets is how the sockets are split.
+type Sockets struct {
+	// Callers is for users, workers and health checks.
+	Callers int
+	// Direct is for calls to machines: a quarter each for commands and for
+	// questions under way, the rest for connections kept open.
+	Direct int
+}
+
+// Sockets splits what the machine allows. Every worker keeps a connection at the
+// pool's owner, so callers have the most; the calls to the services and to the
+// other controllers come off first.
+func (s *Settings) Sockets() Sockets {
+	own := 40 + 18*len(s.Others)
+	rest := max(s.Params.Limits.MaxSockets-own, s.Params.Limits.MaxSockets/2)
+	direct := max(16, rest/4)
+	return Sockets{Callers: max(16, rest-direct), Direct: direct}
+}
+
 // Grace is how long an owner answers beats after its last good renewal. Cut off
 // together with a zone, it may keep tasks there alive that a user has cancelled
 // through another node meanwhile: they must be gone, by the lease that its last
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -31,6 +31,8 @@
 	ErrNoAnswer = errors.New("cloud: no answer")
 	// ErrMalformed: the cloud will never take this request.
 	ErrMalformed = errors.New("cloud: malformed")
+	// ErrNotOurs: this node may no longer own the pool; nothing was sent.
+	ErrNotOurs = errors.New("cloud: the pool may be another's")
 )
 
 // Cloud is the client of the cloud's interface.
@@ -47,12 +49,17 @@
 	return &Cloud{base: "http://" + addr, http: h, tokens: rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps*0.8))), timeout: 4 * time.Second}
 }
 
-func (c *Cloud) call(ctx context.Context, method, path string, in, out any) error {
+// call makes one call. may, if given, is asked after the wait for tokens, right
+// before anything goes out.
+func (c *Cloud) call(ctx context.Context, method, path string, in, out any, may func() bool) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	if err := c.tokens.Wait(ctx); err != nil {
 		return fmt.Errorf("%w: own budget", ErrTrouble)
 	}
+	if may != nil && !may() {
+		return ErrNotOurs
+	}
 	purpose, _, _ := strings.Cut(path, "?")
 	measure.Process.Count("cloud "+method+" "+purpose, 1)
 	var body io.Reader
@@ -106,7 +113,7 @@
 	var out struct {
 		Builds []placement.Type `json:"builds"`
 	}
-	err := c.call(ctx, "GET", "/machine_types", nil, &out)
+	err := c.call(ctx, "GET", "/machine_types", nil, &out, nil)
 	return out.Builds, err
 }
 
@@ -123,7 +130,7 @@
 		if after != "" {
 			q.Set("after", after)
 		}
-		if err := c.call(ctx, "GET", "/hosts?"+q.Encode(), nil, &out); err != nil {
+		if err := c.call(ctx, "GET", "/hosts?"+q.Encode(), nil, &out, nil); err != nil {
 			return nil, err
 		}
 		all = append(all, out.Hosts...)
@@ -144,15 +151,15 @@
 }
 
 // Hire rents; the same name may be sent again and rents nothing twice.
-func (c *Cloud) Hire(ctx context.Context, in Intent) ([]ids.Machine, error) {
+func (c *Cloud) Hire(ctx context.Context, in Intent, may func() bool) ([]ids.Machine, error) {
 	var out struct {
 		Hosts []ids.Machine `json:"hosts"`
 	}
-	err := c.call(ctx, "POST", "/hosts", in, &out)
+	err := c.call(ctx, "POST", "/hosts", in, &out, may)
 	return out.Hosts, err
 }
 
 // Delete returns machines; once it succeeds they and all on them are gone.
-func (c *Cloud) Delete(ctx context.Context, names []ids.Machine) error {
-	return c.call(ctx, "POST", "/hosts/delete", map[string]any{"hosts": names}, nil)
+func (c *Cloud) Delete(ctx context.Context, names []ids.Machine, may func() bool) error {
+	return c.call(ctx, "POST", "/hosts/delete", map[string]any{"hosts": names}, nil, may)
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -143,16 +143,50 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx := context.Background()
 		n, c, _, _, k := setup(0)
-		if _, err := k.Cloud.Hire(ctx, Intent{Name: "h", Type: "small", Count: 1}); !errors.Is(err, ErrNoCapacity) {
+		if _, err := k.Cloud.Hire(ctx, Intent{Name: "h", Type: "small", Count: 1}, nil); !errors.Is(err, ErrNoCapacity) {
 			t.Errorf("no room: %v", err)
 		}
 		c.SetDown(true)
-		if _, err := k.Cloud.Hire(ctx, Intent{Name: "h", Type: "small", Count: 1}); !errors.Is(err, ErrTrouble) {
+		if _, err := k.Cloud.Hire(ctx, Intent{Name: "h", Type: "small", Count: 1}, nil); !errors.Is(err, ErrTrouble) {
 			t.Errorf("outage: %v", err)
 		}
 		n.SetRule(func(_, _ string, _ *http.Request, _ []byte) fake.Fate { return fake.Swallow })
-		if err := k.Cloud.Delete(ctx, []ids.Machine{"host-1"}); !errors.Is(err, ErrNoAnswer) {
+		if err := k.Cloud.Delete(ctx, []ids.Machine{"host-1"}, nil); !errors.Is(err, ErrNoAnswer) {
 			t.Errorf("silence: %v", err)
 		}
 	})
 }
+
+func TestAnOwnerThatStoodStillSendsNoDeletionOrHire(t *testing.T) {
+	// Guards against an owner frozen between deciding and sending: the cloud knows
+	// no tokens, and its successor may have work on the machine by then.
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		_, c, b, _, k := setup(10)
+		b.Learn("job-1", 1, job("job-1", 2), time.Now())
+		k.Step(ctx)
+		if len(c.Hires()) == 0 {
+			t.Fatal("nothing was rented")
+		}
+		time.Sleep(2 * time.Minute) // they never come up
+		asked := 0
+		k.Sure = func() bool { asked++; return false }
+		b.Learn("job-2", 2, job("job-2", 4), time.Now())
+		hires := len(c.Hires())
+		for range 5 {
+			k.Step(ctx)
+			time.Sleep(time.Second)
+		}
+		if asked == 0 || len(c.Gone()) != 0 || len(c.Hires()) != hires {
+			t.Errorf("asked %d times; deleted %v, %d hires", asked, c.Gone(), len(c.Hires())-hires)
+		}
+		k.Sure = func() bool { return true }
+		for range 5 {
+			k.Step(ctx)
+			time.Sleep(time.Second)
+		}
+		if len(c.Gone()) == 0 || len(c.Hires()) == hires {
+			t.Errorf("the sure owner deleted %v and made %d hires", c.Gone(), len(c.Hires())-hires)
+		}
+	})
+}
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -33,6 +33,11 @@
 	Gen ids.Generation
 	// ListEvery spaces the lists; they lag anyway.
 	ListEvery time.Duration
+	// Sure tells whether no other node can own the pool yet. The cloud knows
+	// nothing of tokens: an owner that stood still, or waited, for longer than
+	// its hold could delete the machines on which its successor has placed work.
+	// So it is asked right before a deletion or hire is sent.
+	Sure func() bool
 	// OnTypes is told the cloud's offer whenever it was read.
 	OnTypes func([]placement.Type)
 
@@ -144,7 +149,7 @@
 	names := k.Book.Returns(time.Now(), needed)
 	for len(names) > 0 {
 		n := min(len(names), 100)
-		if err := k.Cloud.Delete(ctx, names[:n]); err != nil {
+		if err := k.Cloud.Delete(ctx, names[:n], k.Sure); err != nil {
 			slog.Debug("deletion not confirmed", "err", err)
 			return // asked again next round, until it is confirmed
 		}
@@ -176,7 +181,7 @@
 }
 
 func (k *Keeper) send(ctx context.Context, in Intent) {
-	names, err := k.Cloud.Hire(ctx, in)
+	names, err := k.Cloud.Hire(ctx, in, k.Sure)
 	switch {
 	case err == nil:
 		slog.Info("hired", "hire", in.Name, "type", in.Type, "zone", in.Zone, "spot", in.Spot, "asked", in.Count, "got", len(names))
--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -5,11 +5,8 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -51,18 +48,19 @@
 func (s *Site) Handler() http.Handler {
 	e := echo.New()
 	e.HideBanner = true
-	e.POST("/agent/beat", s.beat)
+	e.POST("/agent/beat", s.beat, s.guard(workerBeat))
 	e.GET("/up", func(c echo.Context) error {
 		if !s.Ready() {
 			return c.NoContent(503)
 		}
 		return c.NoContent(200)
-	})
-	e.POST("/v2/runs", s.submit)
-	e.GET("/v2/runs/:id", s.look)
-	e.POST("/v2/runs/:id/cancel", s.cancel)
-	e.GET("/v2/runs/:id/explain", s.explain)
-	e.GET("/v2/status", func(c echo.Context) error { return c.JSON(200, s.Status()) })
+	}, s.guard(unknown))
+	users := s.guard(user)
+	e.POST("/v2/runs", s.submit, users)
+	e.GET("/v2/runs/:id", s.look, users)
+	e.POST("/v2/runs/:id/cancel", s.cancel, users)
+	e.GET("/v2/runs/:id/explain", s.explain, users)
+	e.GET("/v2/status", func(c echo.Context) error { return c.JSON(200, s.Status()) }, s.guard(unknown))
 	return e
 }
 
@@ -169,43 +167,3 @@
 		return x, true, nil
 	})
 }
-
-// Serve runs the HTTP side on ln, holding at most most connections: beyond
-// that new ones are closed at once, so that sockets for the calls of our own
-// remain.
-func (s *Site) Serve(ln net.Listener, most int) error {
-	srv := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 20 * time.Second,
-		WriteTimeout: 20 * time.Second, IdleTimeout: 75 * time.Second, MaxHeaderBytes: 16 << 10}
-	return srv.Serve(&capped{Listener: ln, most: int64(most)})
-}
-
-type capped struct {
-	net.Listener
-	most, open int64
-}
-
-func (l *capped) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if atomic.AddInt64(&l.open, 1) > l.most {
-			atomic.AddInt64(&l.open, -1)
-			c.Close()
-			continue
-		}
-		return &counted{Conn: c, l: l}, nil
-	}
-}
-
-type counted struct {
-	net.Conn
-	l    *capped
-	once sync.Once
-}
-
-func (c *counted) Close() error {
-	c.once.Do(func() { atomic.AddInt64(&c.l.open, -1) })
-	return c.Conn.Close()
-}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -65,17 +65,21 @@
 
 func (mute) Tell(ids.Job, ids.Stamp, *claim.Record, json.RawMessage) {}
 
-func site() (*fake.Net, *fake.Store, http.Handler) {
+func desk() (*fake.Net, *fake.Store, *Desk) {
 	n, s := fake.NewNet(), fake.NewStore()
 	n.Listen("state:1", s)
 	set := &config.Settings{Own: config.Defaults()}
 	set.Params.State = config.State{RPS: 500, WriteRPS: 500, ValueKB: 8, TxnOps: 12}
 	set.Params.Teams = []config.Team{{Name: "red", CPUsMax: 8}}
 	st := state.NewClient("state:1", n.Client("a"), state.NewBudget(500, 500, 1, 0.6))
-	d := &Desk{Set: set, State: st, Jobs: state.NewMirror(st, claim.JobPrefix, time.Second), Teller: mute{}, Writer: "a",
+	return n, s, &Desk{Set: set, State: st, Jobs: state.NewMirror(st, claim.JobPrefix, time.Second), Teller: mute{}, Writer: "a",
 		Types: func() []placement.Type {
 			return []placement.Type{{Label: "small", Cores: 4, RAM: 16, Zones: []string{"north"}}}
 		}}
+}
+
+func site() (*fake.Net, *fake.Store, http.Handler) {
+	n, s, d := desk()
 	return n, s, (&Site{Desk: d, Ready: func() bool { return true }, Status: func() any { return nil },
 		Live: func(context.Context, ids.Job) ([]string, ids.Node, error) { return nil, "", nil }}).Handler()
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -227,14 +227,20 @@
 	return err
 }
 
-// AllStopped asks every other controller whether it has stopped answering.
+// AllStopped asks every other controller at the same time whether it has stopped
+// answering: one that hangs costs a timeout, and there may be several.
 func (l *Link) AllStopped(ctx context.Context, gen ids.Generation) bool {
-	all := true
+	stopped := make(chan bool, len(l.set.Others))
 	for _, o := range l.set.Others {
-		var out Confirmed
-		if err := l.call(ctx, o.HostName, "Stopped", &Took{gen}, &out); err != nil || !out.Stopped {
-			all = false
-		}
+		go func() {
+			var out Confirmed
+			err := l.call(ctx, o.HostName, "Stopped", &Took{gen}, &out)
+			stopped <- err == nil && out.Stopped
+		}()
+	}
+	all := true
+	for range l.set.Others {
+		all = <-stopped && all
 	}
 	return all
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -87,3 +90,27 @@
 		time.Sleep(time.Minute) // idle connections are given up
 	})
 }
+
+func TestAllOthersAreAskedAtTheSameTime(t *testing.T) {
+	// Guards against a takeover that waits for a timeout per controller that is
+	// down, one after the other.
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		set := &config.Settings{HostName: "a", Own: config.Defaults(), Others: []config.Other{
+			{HostName: "b", PeerAddr: "b"}, {HostName: "c", PeerAddr: "c"}, {HostName: "d", PeerAddr: "d"}, {HostName: "e", PeerAddr: "e"}}}
+		l := NewLink(set, nil, nil)
+		var dials atomic.Int32
+		l.Dial = func(context.Context, string) (net.Conn, error) {
+			dials.Add(1)
+			time.Sleep(callTimeout)
+			return nil, errors.New("no answer")
+		}
+		began := time.Now()
+		if l.AllStopped(ctx, 7) {
+			t.Error("nobody answered, and yet all have stopped")
+		}
+		if d := time.Since(began); dials.Load() != 4 || d > callTimeout {
+			t.Errorf("%d asked in %v", dials.Load(), d)
+		}
+	})
+}
--- a/internal/worker/roster.go
+++ b/internal/worker/roster.go
@@ -46,6 +46,7 @@
 	Going     bool      // to be returned once empty
 	Probes    int       // questions without an answer since it fell silent
 	Probing   bool      // one is under way
+	Sending   bool      // commands are under way
 	Doubted   time.Time // when the first of those questions was asked
 	Asked     time.Time
 	// Unreached is since when commands and questions to it go unanswered;
@@ -177,6 +178,10 @@
 	}
 }
 
+// Doubtful tells that it leaves calls unanswered: nothing more is sent to it
+// until it answers or reports again.
+func (m *Machine) Doubtful() bool { return m.Probes > 0 || !m.Unreached.IsZero() }
+
 // Silent is how long nothing has come from the machine.
 func (m *Machine) Silent(now time.Time) time.Duration { return now.Sub(m.Seen) }
 
