A dark zone is seen as such, and users are told what moved and what waits

Now a silence is a machine's own only if a quarter of its zone was heard since; a zone is dark once many were asked in vain since anyone there was heard; when it is heard again all are judged anew. After a takeover the leases of a dark zone's machines are known late, long after their replicas ended, so machines whose replicas may start elsewhere are returned after a third of a lease: the cloud's word is proof. The trail puts like losses in one line with zone and cause, and says where what was lost starts again; explain names what a dark zone holds and until when.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -78,6 +78,7 @@
 	urgent         bool // what changed must be stored before anything can go on
 	guaranteed     bool // lies within its team's guarantee
 	failedOn       map[ids.Machine]bool
+	lost           losses
 }
 
 func (j *Job) left() int { return j.Rec.Spec.Tasks - j.Rec.Finished.Len() }
@@ -148,6 +149,7 @@
 	emptyingAt   time.Time
 	returned     map[ids.Machine]bool // deletions the cloud confirmed
 	size         atomic.Int64         // machines, as last counted
+	dark         map[string]bool      // zones of which nothing was heard at the last look
 
 	// Storing tells whether the state service has answered just now. While it
 	// does not, nothing that is stopped could be started again, so nothing is
@@ -176,6 +178,7 @@
 		reserved:     map[ids.Machine]reservation{},
 		warm:         map[string]*warmth{},
 		returned:     map[ids.Machine]bool{},
+		dark:         map[string]bool{},
 		Storing:      func() bool { return true },
 		wakeCommit:   make(chan struct{}, 1), wakePlan: make(chan struct{}, 1),
 	}
@@ -473,6 +476,7 @@
 		out = append(out, "waits: "+j.waiting)
 	}
 	now := time.Now()
+	out = append(out, b.standing(j, now)...)
 	for _, i := range sortedTasks(j.places) {
 		p := j.places[i]
 		st := p.status
--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -457,7 +457,7 @@
 	if gone := b.Returns(time.Now(), map[ids.Machine]bool{}); len(gone) != 1 || gone[0] != at {
 		t.Fatalf("returned %v, not %s alone", gone, at)
 	}
-	b.MachineGone(at, "returned") // the cloud's word is the evidence
+	b.MachineGone(at) // the cloud's word is the evidence
 	b.Plan(now)
 	if p := b.jobs["job-1"].places[0]; p == nil || p.Machine == at {
 		t.Fatal("the job does not go on elsewhere")
@@ -658,7 +658,7 @@
 	if store() != 0 {
 		t.Fatal("an outcome that may wait is stored by itself")
 	}
-	b.MachineGone("m1", "returned")
+	b.MachineGone("m1")
 	if store() != 1 {
 		t.Fatal("that a machine is gone waits")
 	}
--- a/internal/claim/fleet_test.go
+++ b/internal/claim/fleet_test.go
@@ -164,3 +164,146 @@
 		t.Fatal("a start that may yet arrive was given up")
 	}
 }
+
+func TestAZoneThatGoesDarkIsNotMistakenForItsFirstSilentMachines(t *testing.T) {
+	// Machines with replicas are asked sooner than others, so of a zone cut off
+	// they alone look silent for some seconds. And when the zone is heard again,
+	// those not heard yet must not be given up for having been silent in the cut.
+	b := testBook()
+	b.set.Params.Workers.ReportS = 10
+	start := time.Now()
+	zone := func(i int) string { return []string{"north", "south"}[i%2] }
+	for i := range 40 {
+		b.hear(ids.Machine(fmt.Sprintf("m%02d", i)), zone(i), 1)
+	}
+	svc := rec("job-1", "blue", Critical, 20, 2)
+	svc.Spec.Shape = Service
+	b.Learn("job-1", 1, svc, start)
+	b.Plan(start)
+	heard := func(name string, ago time.Duration) {
+		m := b.roster.Machines[ids.Machine(name)]
+		m.Seen, m.Probes = start.Add(-ago), 0
+		m.Reached(true, start)
+	}
+	// The south fell silent 5 s ago; ten of its machines were asked twice since.
+	asked := 0
+	for i := range 40 {
+		name := fmt.Sprintf("m%02d", i)
+		heard(name, time.Duration(i)*20*time.Millisecond)
+		if zone(i) == "south" {
+			heard(name, 5*time.Second)
+			if asked++; asked <= 10 {
+				m := b.roster.Machines[ids.Machine(name)]
+				m.Probes, m.Doubted, m.Unreached = 2, start.Add(-2500*time.Millisecond), start.Add(-1500*time.Millisecond)
+			}
+		}
+	}
+	if gone := b.Returns(start, map[ids.Machine]bool{}); len(gone) != 0 {
+		t.Fatalf("returned %v of a zone that is dark", gone)
+	}
+	if !b.DarkZones()["south"] || b.DarkZones()["north"] {
+		t.Fatalf("dark: %v", b.DarkZones())
+	}
+	// A minute later one of them is heard.
+	for i := range 40 {
+		if m := b.roster.Machines[ids.Machine(fmt.Sprintf("m%02d", i))]; zone(i) == "south" {
+			m.Probes, m.Seen, m.Doubted, m.Unreached, m.Failures = 20, start.Add(-time.Minute), start.Add(-58*time.Second), start.Add(-57*time.Second), 20
+		}
+	}
+	b.hear("m01", "south", 2)
+	b.probed("m01", true)
+	if gone := b.Returns(start, map[ids.Machine]bool{}); len(gone) != 0 {
+		t.Fatalf("returned %v when the zone came back", gone)
+	}
+	// Whoever stays silent although the others came back is given up.
+	for i := range 40 {
+		if name := fmt.Sprintf("m%02d", i); name != "m03" {
+			heard(name, 0)
+		}
+	}
+	m := b.roster.Machines["m03"]
+	m.Probes, m.Doubted = 2, start.Add(-3*time.Second)
+	if gone := b.Returns(start, map[ids.Machine]bool{}); len(gone) != 1 || gone[0] != "m03" {
+		t.Fatalf("returned %v, not the one that did not come back", gone)
+	}
+}
+
+func TestAfterATakeoverReplicasOfADarkZoneMoveOnTheCloudsWord(t *testing.T) {
+	// Guards against a new owner that waits for leases it knows nothing of: the
+	// replicas had ended long before. Where the rule of zones leaves no room
+	// elsewhere, returning the machines would gain nothing.
+	now := time.Now()
+	b := testBook()
+	for i := range 9 {
+		b.hear(ids.Machine(fmt.Sprint("n", i)), "north", 1)
+	}
+	service := func(id ids.Job, tasks int, at map[int]string) {
+		r := rec(id, "blue", Critical, tasks, 1)
+		r.Spec.Shape, r.Spec.Spread, r.Status = Service, true, Claimed
+		places := map[int]*Place{}
+		for i, m := range at {
+			places[i] = &Place{Index: i, Machine: ids.Machine(m), Session: 1, Attempt: 1, Token: 3}
+		}
+		r.Places = packPlaces(places)
+		b.Load(map[ids.Job]*Record{id: r}, map[ids.Job]ids.Stamp{id: 1}, 0, now)
+	}
+	service("job-1", 5, map[int]string{0: "n0", 1: "n1", 2: "s0", 3: "s0", 4: "s1"}) // one may move
+	service("job-2", 4, map[int]string{0: "n2", 1: "n3", 2: "s2", 3: "s3"})          // none may
+	for i := range 4 {
+		name := ids.Machine(fmt.Sprint("s", i))
+		m := b.roster.Ensure(name, now, now.Add(time.Minute))
+		m.Zone, m.Type, m.Addr = "south", "small", string(name)+":1"
+		m.Probes, m.Doubted = 5, now.Add(time.Second)
+	}
+	if gone := b.Returns(now.Add(5*time.Second), map[ids.Machine]bool{}); len(gone) != 0 {
+		t.Fatalf("returned %v while the cut may still be short", gone)
+	}
+	gone := b.Returns(now.Add(8*time.Second), map[ids.Machine]bool{})
+	if len(gone) != 2 || gone[0] != "s0" || gone[1] != "s1" {
+		t.Fatalf("returned %v, not s0 and s1", gone)
+	}
+}
+
+func TestAUserIsToldWhatMovedAndWhatWaits(t *testing.T) {
+	now := time.Now()
+	b := testBook()
+	for i := range 4 {
+		b.hear(ids.Machine(fmt.Sprint("s", i)), "south", 1)
+	}
+	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 16, 1), now)
+	b.Plan(now)
+	b.store()
+	for i := range 4 {
+		b.hear(ids.Machine(fmt.Sprint("n", i)), "north", 1)
+		m := b.roster.Machines[ids.Machine(fmt.Sprint("s", i))]
+		m.Probes, m.Doubted = 3, time.Now()
+	}
+	if !b.DarkZones()["south"] {
+		t.Fatal("the south is not dark")
+	}
+	if got := strings.Join(b.Explain("job-1"), "\n"); !strings.Contains(got, "nothing is heard of south (16)") || !strings.Contains(got, "leases") {
+		t.Errorf("in the dark: %s", got)
+	}
+	// The leases of all but one lapse; two of the tasks find a place.
+	for i := range 3 {
+		b.roster.Machines[ids.Machine(fmt.Sprint("s", i))].LapseAt = now
+	}
+	b.Lapses(now.Add(time.Second))
+	trail := func() (out []string) {
+		for _, e := range b.jobs["job-1"].Rec.Trail {
+			out = append(out, e.What)
+		}
+		return out
+	}
+	if tr := trail(); len(tr) > 3 || !strings.Contains(strings.Join(tr, "\n"), "tasks gone in south") {
+		t.Errorf("the trail of twelve tasks lost at once: %q", tr)
+	}
+	b.jobs["job-1"].most = 4 + 2
+	b.Plan(now)
+	got := strings.Join(append(trail(), b.Explain("job-1")...), "\n")
+	for _, want := range []string{"tasks lost in south (2) start again: north (2)", "lost in south (10) and not started again yet", "on machines in north (2)", "nothing is heard of south (4)"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("not told: %q, only\n%s", want, got)
+		}
+	}
+}
--- a/internal/claim/scale_test.go
+++ b/internal/claim/scale_test.go
@@ -134,7 +134,7 @@
 		b.hear(name, "north", ids.Tick(i+3), pieces...)
 		check("done")
 	}
-	b.MachineGone("host-000004", "returned")
+	b.MachineGone("host-000004")
 	check("returned")
 	b.Plan(now)
 	check("placed again")
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -325,11 +325,14 @@
 	}
 	b.touch(j)
 	b.hurry(j)
+	var fresh []*Place
 	for _, p := range j.places {
 		if p.version == 0 {
 			p.version = j.version
+			fresh = append(fresh, p)
 		}
 	}
+	b.noteMoved(j, fresh)
 }
 
 // openLimit bounds how many tasks of one job are claimed at a time, so that
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -30,7 +30,7 @@
 	hadNotice := !m.TakenAt.IsZero()
 	moved := m.Type != rep.Type || m.Zone != rep.Zone || m.Spot != rep.Spot
 	idle := m.Heard && !m.Usable(now, b.set.Params.Workers.ReportS)
-	doubted := m.Doubtful()
+	doubted, lost := m.Doubtful(), firstHeard || m.Silent(now) > 2*b.set.Params.Workers.ReportS.Duration()+time.Second
 	v := b.roster.Note(m, rep, now, answered, b.gen)
 	if !v.Fresh {
 		return nil
@@ -40,6 +40,11 @@
 		b.shelve(h)
 		b.hinted(m)
 	}
+	if !m.Unreached.IsZero() && lost {
+		// It was silent for long and is heard again: that calls to it failed
+		// meanwhile says nothing of now. It is asked anew before it is judged.
+		m.Unreached, m.Failures, m.Doubted, m.Asked = now, 0, now, time.Time{}
+	}
 	if firstHeard || v.Moved || doubted {
 		b.due[h] = true // what was held back or placed there before may go out now
 	}
@@ -59,7 +64,7 @@
 	// its lease lapsed.
 	for p := range b.placesOn(m.Name) {
 		if p.sent && p.Session < rep.Session {
-			b.vanish(p, "the worker's lease lapsed on "+string(m.Name))
+			b.vanish(p, "its worker's lease lapsed")
 		}
 	}
 	listed := make(map[taskAttempt]bool, len(rep.Pieces))
@@ -93,14 +98,14 @@
 		}
 		switch {
 		case p.seen:
-			b.vanish(p, "no longer reported by "+string(m.Name))
+			b.vanish(p, "its worker reports it no longer")
 		case p.Token < rep.Token:
 			// The worker has seen a higher token than the start carries, so
 			// the start was never carried out and never will be.
-			b.vanish(p, "start turned away by "+string(m.Name))
+			b.vanish(p, "its start was turned away")
 		case p.stopping && beat && p.offeredOnlyByBeat(b) && rep.Tick > p.beatOffer:
 			// Starts in beat answers are carried out at once or never.
-			b.vanish(p, "start dropped by "+string(m.Name))
+			b.vanish(p, "its start was dropped")
 		}
 	}
 	for p := range b.placesOn(m.Name) {
@@ -280,11 +285,13 @@
 // vanish requeues a task proven not to be on its machine any more.
 func (b *Book) vanish(p *Place, why string) {
 	j := p.Job
+	if !j.ended {
+		b.noteGone(p, why)
+	}
 	b.dropPlace(p)
 	if j.ended {
 		return
 	}
-	b.note(j, "task %d gone: %s", p.Index, why)
 	if !j.cancelled() {
 		b.redo(p, "machine lost", time.Now())
 	}
@@ -362,16 +369,20 @@
 		for p := range h.places {
 			// A start sent after the last answer belongs to the same lapsed
 			// session, which turns it away from here on.
-			b.vanish(p, "the worker's lease lapsed on silent "+string(name))
+			b.vanish(p, "silent until its worker's lease had surely lapsed")
 		}
 	}
 }
 
 // MachineGone requeues everything on a machine that the cloud has confirmed
 // deleted, and forgets it.
-func (b *Book) MachineGone(name ids.Machine, why string) {
+func (b *Book) MachineGone(name ids.Machine) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	why := "its machine was returned to the cloud"
+	if m := b.roster.Machines[name]; m != nil && m.ReturnWhy != "" {
+		why += ": " + m.ReturnWhy
+	}
 	for p := range b.placesOn(name) {
 		b.vanish(p, why)
 	}
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -154,7 +154,7 @@
 			return // asked again next round, until it is confirmed
 		}
 		for _, name := range names[:n] {
-			k.Book.MachineGone(name, "machine "+string(name)+" was returned to the cloud")
+			k.Book.MachineGone(name)
 		}
 		names = names[n:]
 	}
--- a/internal/worker/roster.go
+++ b/internal/worker/roster.go
@@ -41,6 +41,7 @@
 	Draining  string    // why nothing new goes there; empty: in use
 	Failed    bool      // the cloud says it stopped by itself
 	Deleting  bool
+	ReturnWhy string // why it is being deleted
 	IdleSince time.Time
 	NeededAt  time.Time // when it was last needed, or came
 	Going     bool      // to be returned once empty
@@ -109,7 +110,7 @@
 	// A held-back report of an earlier life or list says nothing new.
 	if m.Heard && (rep.Session < m.Session || rep.Session == m.Session && rep.Tick <= m.Tick) {
 		if answered && rep.Session == m.Session {
-			m.LapseAt = later(m.LapseAt, now.Add(r.lease.Drifted()))
+			m.LapseAt = Later(m.LapseAt, now.Add(r.lease.Drifted()))
 		}
 		return Verdict{}
 	}
@@ -117,7 +118,7 @@
 	if !m.Heard || v.Moved {
 		// The session may have begun just now, and lasts a lease from then on
 		// even if none of its beats is ever answered.
-		m.LapseAt = later(m.LapseAt, now.Add(r.lease.Drifted()))
+		m.LapseAt = Later(m.LapseAt, now.Add(r.lease.Drifted()))
 	}
 	m.Heard, m.Booting = true, false
 	m.Addr, m.Type, m.Zone, m.Spot = rep.Addr, rep.Type, rep.Zone, rep.Spot
@@ -133,7 +134,7 @@
 	if answered {
 		lapse := now.Add(r.lease.Drifted())
 		if rep.Token < fenced {
-			lapse = later(m.LapseAt, lapse)
+			lapse = Later(m.LapseAt, lapse)
 		}
 		m.LapseAt, m.BeatAt = lapse, now
 	}
@@ -148,7 +149,8 @@
 	return v
 }
 
-func later(a, b time.Time) time.Time {
+// Later is the later of two times.
+func Later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
 	}
