--- a/internal/claim/apart_test.go
+++ b/internal/claim/apart_test.go
@@ -206,11 +206,12 @@
 		time.Sleep(5 * time.Second)
 		second := w.owner()
 		cut(second.name, "m1", "m2")
-		w.hold(35*time.Second, "nothing runs twice", func() bool { return true })
+		w.hold(35*time.Second, "replicas go on, since the deaf owner gives way", func() bool { return w.everywhere("job-1", 4) && w.everywhere("job-2", 2) })
+		if w.owner() == second {
+			t.Error("the owner that hears no worker keeps the pool")
+		}
 		w.net.SetRule(nil)
 		w.net.Release()
-		time.Sleep(15 * time.Second) // what was held is over, and a session begun in the cut may lapse
-		w.until(45*time.Second, "all runs", func() bool { return w.everywhere("job-1", 4) && w.everywhere("job-2", 2) })
 		w.hold(25*time.Second, "and goes on", func() bool { return w.everywhere("job-1", 4) && w.everywhere("job-2", 2) })
 	})
 }
@@ -347,3 +348,24 @@
 		}
 	})
 }
+
+func TestOnlyWhoMayStillAnswerIsAskedToConfirm(t *testing.T) {
+	// Guards against controllers cut off with a zone, which own nothing, keeping a
+	// new owner from trusting any lapse.
+	for seen, want := range map[time.Duration]int{5 * time.Second: 0, 30 * time.Second: 1} {
+		story(t, func(t *testing.T, w *world) {
+			a := w.start("a")
+			w.until(5*time.Second, "a owns the pool", func() bool { return a.pool.Book() != nil })
+			b := w.start("b")
+			time.Sleep(seen)
+			a.kill()
+			w.until(5*time.Second, "b owns the pool", func() bool { return b.pool.Book() != nil })
+			time.Sleep(time.Second)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if len(b.asked) != want || want == 1 && b.asked[0] != "a" {
+				t.Errorf("after %v of seeing a own the pool, asked %v", seen, b.asked)
+			}
+		})
+	}
+}
--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -79,6 +79,7 @@
 	guaranteed     bool // lies within its team's guarantee
 	failedOn       map[ids.Machine]bool
 	lost           losses
+	aside          time.Time // when machines to set aside were last looked for
 }
 
 func (j *Job) left() int { return j.Rec.Spec.Tasks - j.Rec.Finished.Len() }
@@ -592,3 +593,11 @@
 	}
 	return silent >= 2 && silent > heard
 }
+
+// deaf tells whether next to no machine is heard or answers.
+func (b *Book) deaf(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	si := b.count()
+	return si.storing && si.silent >= 2 && 4*si.silent >= 3*si.all && seenAfter(si.seen, now.Add(-2*time.Second)) == 0
+}
--- a/internal/claim/fleet_test.go
+++ b/internal/claim/fleet_test.go
@@ -255,10 +255,11 @@
 		m.Zone, m.Type, m.Addr = "south", "small", string(name)+":1"
 		m.Probes, m.Doubted = 5, now.Add(time.Second)
 	}
-	if gone := b.Returns(now.Add(5*time.Second), map[ids.Machine]bool{}); len(gone) != 0 {
-		t.Fatalf("returned %v while the cut may still be short", gone)
+	b.trustSilence = now.Add(17*time.Second + 500*time.Millisecond)
+	if gone := b.Returns(now.Add(3*time.Second), map[ids.Machine]bool{}); len(gone) != 0 {
+		t.Fatalf("returned %v while the leases may still last", gone)
 	}
-	gone := b.Returns(now.Add(8*time.Second), map[ids.Machine]bool{})
+	gone := b.Returns(now.Add(5*time.Second), map[ids.Machine]bool{})
 	if len(gone) != 2 || gone[0] != "s0" || gone[1] != "s1" {
 		t.Fatalf("returned %v, not s0 and s1", gone)
 	}
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -437,7 +437,7 @@
 		// It held tasks for an earlier owner and neither answers nor is
 		// listed: returning it proves its tasks gone.
 		return "up but never heard"
-	case !m.Heard && !m.Booting && si.dark(m.Zone) && now.Sub(m.Born) > b.set.Params.Workers.LeaseS.Duration()/3 && b.movable(m, si):
+	case !m.Heard && !m.Booting && si.dark(m.Zone) && b.trustSilence.Sub(now) < b.set.Params.Workers.LeaseS.Duration()*2/3 && b.movable(m, si):
 		return "its zone is dark, and its replicas can start elsewhere"
 	case m.Heard && empty && !needed[m.Name] && now.Sub(m.IdleSince).Seconds() > b.set.Own.IdleReturnS && now.Sub(m.HeldSince) > time.Minute:
 		return "idle"
@@ -453,9 +453,11 @@
 
 // movable tells whether a machine has a replica that may start in a zone that is
 // not dark. An owner knows when the leases of a dark zone's machines lapse only
-// if it answered them itself; after a takeover it would wait long after the
-// replicas have ended, while the cloud's word on a machine returned is proof at
-// once.
+// if it answered them itself. After a takeover it would trust that only long
+// after most of the replicas have ended, while the cloud's word on a machine
+// returned is proof at once. Two thirds of a lease before that time the first
+// end, if the cut is older than the takeover: not earlier, since it may be over
+// before.
 func (b *Book) movable(m *worker.Machine, si *silence) bool {
 	for p := range b.placesOn(m.Name) {
 		if s := &p.Job.Rec.Spec; s.Shape != Service || s.Zone != "" || !p.Job.claimable() {
@@ -495,8 +497,9 @@
 	seen        []time.Time // of those heard, in order
 }
 
-// zoneSilence is the same of one zone. It is dark when many of its machines were
-// asked in vain since anyone there was last heard.
+// zoneSilence is the same of one zone. It is dark when half of its machines were
+// asked in vain since anyone there was last heard. Fewer may be lost at once, and
+// in a small zone a second or more goes by between the reports of the others.
 type zoneSilence struct {
 	all    int
 	seen   []time.Time
@@ -553,7 +556,7 @@
 		}
 	}
 	for _, z := range si.zones {
-		z.dark = z.doubts >= max(3, z.all/4)
+		z.dark = z.doubts >= max(3, z.all/2)
 	}
 	return si
 }
--- a/internal/claim/pool.go
+++ b/internal/claim/pool.go
@@ -28,9 +28,12 @@
 
 // Peers is what the pool asks of the other controllers.
 type Peers interface {
-	// AllStopped asks every other controller to confirm that it answers no
-	// beats under an older generation; it is true once all have.
-	AllStopped(ctx context.Context, gen ids.Generation) bool
+	// AllStopped asks the named controllers, or every other if none is named, to
+	// confirm that they answer no beats under an older generation; it is true
+	// once all have.
+	AllStopped(ctx context.Context, gen ids.Generation, of ...ids.Node) bool
+	// Alone tells that none of the other controllers has been heard lately.
+	Alone() bool
 }
 
 // Term is one spell of owning the pool.
@@ -41,6 +44,7 @@
 	Dispatcher *Dispatcher
 	Intents    []state.Entry
 	hold       ids.Hold
+	began      time.Time
 	renewed    time.Time // when the last good renewal was sent
 	loaded     chan struct{}
 	cancel     context.CancelFunc
@@ -63,11 +67,18 @@
 	mu      sync.Mutex
 	term    *Term
 	resting time.Time                 // no campaign before
+	last    lastOwner                 // who owned the pool before this node
 	hints   map[ids.Machine]Hint      // of the last owner heard
 	heardTo HintMark                  // what of its hints is here
 	sent    map[ids.Machine]time.Time // when workers were last sent on to the owner
 }
 
+// lastOwner is whose generation this node has seen, and since when.
+type lastOwner struct {
+	writer string
+	since  time.Time
+}
+
 // NewPool makes the pool's client; incarnation tells this process from its
 // node's earlier ones.
 func NewPool(set *config.Settings, c *state.Client, cmd *worker.Commander, incarnation string) *Pool {
@@ -106,6 +117,7 @@
 			wait(ctx, life/5)
 			continue
 		}
+		p.watchOwner()
 		if p.vacant() {
 			if err := p.campaign(ctx, life); err != nil {
 				slog.Debug("campaign failed", "err", err)
@@ -234,12 +246,12 @@
 	if err != nil {
 		return err
 	}
-	p.begin(ctx, gen, writer, hold, ids.Stamp(epoch), sent)
+	p.begin(ctx, prev, gen, writer, hold, ids.Stamp(epoch), sent)
 	return nil
 }
 
 // begin starts a term.
-func (p *Pool) begin(ctx context.Context, gen ids.Generation, writer string, hold ids.Hold, stamp ids.Stamp, sent time.Time) {
+func (p *Pool) begin(ctx context.Context, prev generationRec, gen ids.Generation, writer string, hold ids.Hold, stamp ids.Stamp, sent time.Time) {
 	now := time.Now()
 	w := &p.Set.Params.Workers
 	trust := now.Add(p.Set.Grace().Drifted() + w.LeaseS.Drifted())
@@ -250,7 +262,7 @@
 		return ok && age < fresh
 	}
 	tctx, cancel := context.WithCancel(ctx)
-	t := &Term{Gen: gen, Book: b, hold: hold, renewed: sent, loaded: make(chan struct{}), cancel: cancel}
+	t := &Term{Gen: gen, Book: b, hold: hold, began: now, renewed: sent, loaded: make(chan struct{}), cancel: cancel}
 	t.Committer = NewCommitter(b, p.State, p.Set.HostName, stamp)
 	t.Dispatcher = NewDispatcher(b, p.Commander, p.Set.Sockets().Direct/4)
 	t.Committer.OnLost = func(why string) { go p.stepDown(t, why) }
@@ -268,7 +280,7 @@
 			p.runTerm(tctx, t)
 		}
 	}()
-	go p.confirmStopped(tctx, t)
+	go p.confirmStopped(tctx, t, p.whoMayAnswer(prev, now)...)
 }
 
 // load reads every live record; the takeover's commit keeps older owners from
@@ -350,6 +362,7 @@
 	default:
 		slog.Debug("renewal failed", "err", err)
 	}
+	p.checkDeaf(t)
 	if e, found, ready := p.mirror.Get(GenerationKey); ready && found {
 		var g generationRec
 		if json.Unmarshal(e.Value, &g) == nil && g.Generation > t.Book.Generation() && !strings.HasPrefix(g.Writer, p.incarnation+"/") {
@@ -436,10 +449,29 @@
 	if t == nil || len(stranded) == 0 || !t.Book.cutOff(stranded, time.Now()) {
 		return
 	}
+	p.giveWay(t, "cut off from the workers, which reach another node")
+}
+
+// deafAfter is how long a term lasts at least before its owner may find itself
+// cut off from all workers.
+const deafAfter = 5 * time.Second
+
+// checkDeaf gives the pool up if no worker is heard or answers, and no other
+// controller can be reached to tell whether they reach it. An owner that hears
+// nobody keeps no lease alive, so little is lost if another fares no better.
+func (p *Pool) checkDeaf(t *Term) {
+	if p.Peers == nil || !p.Peers.Alone() || time.Since(t.began) < deafAfter || !t.Book.deaf(time.Now()) {
+		return
+	}
+	p.giveWay(t, "no worker is heard, and no other controller")
+}
+
+// giveWay ends the term at once, and leaves the pool to others for a while.
+func (p *Pool) giveWay(t *Term, why string) {
 	p.mu.Lock()
 	p.resting = time.Now().Add(20 * time.Second)
 	p.mu.Unlock()
-	p.stepDown(t, "cut off from the workers, which reach another node")
+	p.stepDown(t, why)
 	ctx, cancel := context.WithTimeout(context.Background(), state.CallTimeout)
 	defer cancel()
 	if err := p.State.End(ctx, t.hold); err != nil {
@@ -459,14 +491,42 @@
 	return true
 }
 
-// confirmStopped shortens the wait for silent workers' lapses once every other
-// controller says that it has stopped answering.
-func (p *Pool) confirmStopped(ctx context.Context, t *Term) {
+// watchOwner notes whose generation it is and since when.
+func (p *Pool) watchOwner() {
+	e, found, ready := p.mirror.Get(GenerationKey)
+	var g generationRec
+	if !ready || !found || json.Unmarshal(e.Value, &g) != nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if g.Writer != p.last.writer {
+		p.last = lastOwner{g.Writer, time.Now()}
+	}
+}
+
+// whoMayAnswer names the controllers that may still be answering beats under an
+// older generation: only the last owner, if this node has seen it own the pool
+// for longer than the grace of whoever was before it; otherwise none is named, and
+// all must be asked. In a zone that is cut off there may be controllers, which
+// cannot confirm anything, and need not.
+func (p *Pool) whoMayAnswer(prev generationRec, now time.Time) []ids.Node {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if prev.Writer == "" || prev.Node == p.Set.HostName || prev.Writer != p.last.writer || now.Sub(p.last.since) < p.Set.Grace().Drifted()+time.Second {
+		return nil
+	}
+	return []ids.Node{prev.Node}
+}
+
+// confirmStopped shortens the wait for silent workers' lapses once those who may
+// still be answering them say that they have stopped.
+func (p *Pool) confirmStopped(ctx context.Context, t *Term, of ...ids.Node) {
 	for ctx.Err() == nil {
 		if p.Peers == nil {
 			return
 		}
-		if p.Peers.AllStopped(ctx, t.Gen) {
+		if p.Peers.AllStopped(ctx, t.Gen, of...) {
 			now := time.Now()
 			t.Book.Trust(now.Add(p.Set.Params.Workers.LeaseS.Drifted()))
 			return
--- a/internal/claim/scale_test.go
+++ b/internal/claim/scale_test.go
@@ -27,7 +27,7 @@
 // the fleet times the jobs or tasks, must not be lost unseen.
 func TestPlanningCostsWhatChangedAndNotTheFleet(t *testing.T) {
 	now := time.Now()
-	const machines, jobs = 2500, 500
+	const machines, jobs = 4000, 800
 	b := fleet(t, machines)
 	cost := func(f func()) int {
 		before := b.looks
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -82,6 +82,7 @@
 	w      *world
 	name   string
 	pool   *claim.Pool
+	asked  []ids.Node // who was last asked to confirm that it stopped
 	desk   *intake.Desk
 	cancel context.CancelFunc
 }
@@ -148,9 +149,10 @@
 }
 
 // AllStopped asks the other node, if it lives and the network lets it.
-func (n *node) AllStopped(_ context.Context, gen ids.Generation) bool {
+func (n *node) AllStopped(_ context.Context, gen ids.Generation, of ...ids.Node) bool {
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
+	n.asked = of
 	for name, o := range n.w.nodes {
 		if name != n.name && !n.w.cutOff(n.name, name) && o.pool.Superseded(gen) {
 			return true
@@ -167,6 +169,18 @@
 	return w.net.Rule(from, to, r, nil) != fake.Deliver
 }
 
+// Alone tells that the other node is down or out of reach.
+func (n *node) Alone() bool {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	for name := range n.w.nodes {
+		if name != n.name && !n.w.cutOff(n.name, name) {
+			return false
+		}
+	}
+	return true
+}
+
 // Tell passes writes on at once.
 func (n *node) Tell(id ids.Job, stamp ids.Stamp, rec *claim.Record, raw json.RawMessage) {
 	n.w.mu.Lock()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -227,19 +227,25 @@
 	return err
 }
 
-// AllStopped asks every other controller at the same time whether it has stopped
-// answering: one that hangs costs a timeout, and there may be several.
-func (l *Link) AllStopped(ctx context.Context, gen ids.Generation) bool {
-	stopped := make(chan bool, len(l.set.Others))
-	for _, o := range l.set.Others {
+// AllStopped asks the controllers named, or else every other, at the same time
+// whether they have stopped answering: one that hangs costs a timeout, and there
+// may be several.
+func (l *Link) AllStopped(ctx context.Context, gen ids.Generation, of ...ids.Node) bool {
+	if len(of) == 0 {
+		for _, o := range l.set.Others {
+			of = append(of, o.HostName)
+		}
+	}
+	stopped := make(chan bool, len(of))
+	for _, node := range of {
 		go func() {
 			var out Confirmed
-			err := l.call(ctx, o.HostName, "Stopped", &Took{gen}, &out)
+			err := l.call(ctx, node, "Stopped", &Took{gen}, &out)
 			stopped <- err == nil && out.Stopped
 		}()
 	}
 	all := true
-	for range l.set.Others {
+	for range of {
 		all = <-stopped && all
 	}
 	return all
@@ -315,6 +321,19 @@
 	return false
 }
 
+// Alone tells that there are other controllers, and none of them has been heard
+// lately.
+func (l *Link) Alone() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.seen {
+		if time.Since(s.at) < 3*time.Second {
+			return false
+		}
+	}
+	return len(l.set.Others) > 0
+}
+
 // wants is what to ask of each of the others, looked at once a second.
 func (l *Link) wants() float64 {
 	l.mu.Lock()
