Tasks marked for a session that ends meanwhile are placed anew

Their markers named sessions begun in the cut, which ended (each lasts a lease unanswered) before the marker was stored; no start went out for an older session, and only what had been sent was taken as gone. Ruled out: images (held), slots, machines set aside. Such places are now dropped when the session moves. The test fails without the change. It can happen wherever sessions end, at any size.

--- a/internal/claim/fleet_test.go
+++ b/internal/claim/fleet_test.go
@@ -308,3 +308,25 @@
 		}
 	}
 }
+
+func TestATaskMarkedForASessionThatEndsMeanwhileIsPlacedAnew(t *testing.T) {
+	// Found on a day with a zone cut off: when it came back, replicas were marked
+	// for workers whose sessions ended before the marker was stored. No start went
+	// out, nothing reported them, and they stayed down for good.
+	now := time.Now()
+	b := testBook()
+	b.hear("m1", "north", 1)
+	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 2, 1), now)
+	b.Plan(now)
+	rep := &worker.Report{Machine: "m1", Addr: "m1:1", Type: "small", Zone: "north", Session: 2, Tick: 2, Token: 7}
+	b.Observe(rep, true, true)
+	j := b.jobs["job-1"]
+	j.saved = j.version
+	b.settledUpTo(j)
+	b.Plan(now)
+	j.saved = j.version
+	b.settledUpTo(j)
+	if got := b.batches(10); len(got) != 1 || got[0].session != 2 || len(got[0].orders) != 2 {
+		t.Fatalf("sent %+v", got)
+	}
+}
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -63,8 +63,15 @@
 	// Everything of an earlier session is gone, as the worker forgot it when
 	// its lease lapsed.
 	for p := range b.placesOn(m.Name) {
-		if p.sent && p.Session < rep.Session {
+		switch {
+		case p.Session >= rep.Session:
+		case p.sent:
 			b.vanish(p, "its worker's lease lapsed")
+		default:
+			// Only marked, for a session that is over: its start would never go
+			// out, and nobody would ever report it.
+			b.dropPlace(p)
+			b.touch(p.Job)
 		}
 	}
 	listed := make(map[taskAttempt]bool, len(rep.Pieces))
