Machines are set aside for work that starves: going first is not enough

Cause, from a story of a burst after a loss: the largest array of low work, whose tasks fill a machine, went first after 100 s and still never began within four minutes, since smaller tasks took each core that came free. Now as many machines as it needs to begin are kept for it, soonest free first, for a minute at most, one in twenty of all at a time, critical work excepted; high work stops others instead. Ten teams, all classes and a gang over half of the fleet are in the story.

--- a/internal/claim/apart_test.go
+++ b/internal/claim/apart_test.go
@@ -26,6 +26,20 @@
 	return true
 }
 
+// once checks that each task was started on one worker only, and there once.
+func (w *world) once(tasks ...string) {
+	w.t.Helper()
+	for _, task := range tasks {
+		n := 0
+		for _, k := range w.workers {
+			n += k.Started(task)
+		}
+		if n != 1 {
+			w.t.Errorf("%s was started %d times", task, n)
+		}
+	}
+}
+
 func TestAZoneCutBeyondTheLeaseWithTheOwnerEndedMeanwhile(t *testing.T) {
 	// Guards against what the zone's held reports, commands and answers do when
 	// they arrive afterwards: its tasks ended with their leases and run elsewhere
@@ -91,11 +105,7 @@
 				return w.status("a", job) == "done" && w.status("b", job) == "done"
 			})
 		}
-		for _, task := range north {
-			if n := w.worn("n1").Started(task) + w.worn("n2").Started(task); n != 1 {
-				t.Errorf("%s, which nothing had happened to, was started %d times", task, n)
-			}
-		}
+		w.once(north...) // nothing had happened to them
 	})
 }
 
@@ -139,11 +149,7 @@
 		}
 		w.until(3*time.Second, "the old owner knows", func() bool { return old.pool.Book() == nil })
 		w.hold(25*time.Second, "what runs goes on", func() bool { return w.everywhere("job-2", 3) && len(w.on("job-1/0")) == 1 })
-		for _, task := range []string{"job-1/0", "job-2/0", "job-2/1", "job-2/2"} {
-			if n := w.worn("m1").Started(task) + w.worn("m2").Started(task); n != 1 {
-				t.Errorf("%s was started %d times", task, n)
-			}
-		}
+		w.once("job-1/0", "job-2/0", "job-2/1", "job-2/2")
 	})
 }
 
@@ -282,14 +288,7 @@
 		w.hold(30*time.Second, "nothing old begins, nothing stops", func() bool {
 			return w.everywhere("job-2", 2) && len(w.on("job-1/0"))+len(w.on("job-1/1"))+len(w.on("job-3/0"))+len(w.on("job-3/1")) == 0
 		})
-		for _, job := range []string{"job-1", "job-2", "job-3"} {
-			for i := range 2 {
-				task := fmt.Sprintf("%s/%d", job, i)
-				if n := w.worn("m1").Started(task) + w.worn("m2").Started(task); n != 1 {
-					t.Errorf("%s was started %d times", task, n)
-				}
-			}
-		}
+		w.once("job-1/0", "job-1/1", "job-2/0", "job-2/1", "job-3/0", "job-3/1")
 	})
 }
 
--- /dev/null
+++ b/internal/claim/aside.go
@@ -0,0 +1,113 @@
+package claim
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/worker"
+)
+
+// A job whose tasks take much of a machine may go first in the order and still
+// never begin: whatever a machine frees, smaller tasks take before enough is free
+// at once. So for one that starves, machines are set aside: nothing but critical
+// work is placed there until what runs on them has ended.
+
+// starves tells whether a job has waited so long for its first start that it goes
+// ahead of all but critical work.
+func (j *Job) starves(now time.Time) bool {
+	return j.Rec.Attempt == 0 && now.Sub(j.Rec.Submitted.Time()) > starving
+}
+
+// Machines are set aside for asideFor at most; others are looked for again after
+// asideAgain; and all together are one machine in asideShare, but for a job that
+// needs more at once.
+const (
+	asideFor   = time.Minute
+	asideAgain = 5 * time.Second
+	asideShare = 20
+)
+
+// setAside keeps n machines for a starving job, those that are soonest free
+// enough; it tells whether it did. High work stops others instead. It looks at every machine, but once a minute
+// for a job that starves.
+func (b *Book) setAside(j *Job, ask *placement.Ask, n int, now time.Time) bool {
+	if j.Rec.Spec.Priority >= High || !j.starves(now) || now.Sub(j.aside) < asideAgain {
+		return false
+	}
+	j.aside = now
+	held := 0
+	for _, r := range b.reserved {
+		if r.aside && r.until.After(now) {
+			held++
+		}
+	}
+	if held+n > max(2*n, len(b.hosts)/asideShare) {
+		return false
+	}
+	type candidate struct {
+		h     *host
+		zone  string
+		after time.Duration
+	}
+	var cs []candidate
+	for _, h := range b.hosts {
+		m := b.roster.Machines[h.name]
+		if m == nil {
+			continue
+		}
+		if r, ok := b.reserved[h.name]; ok && r.until.After(now) {
+			if r.job == j.Rec.Spec.ID {
+				return true
+			}
+			continue
+		}
+		t := b.types[m.Type]
+		if t == nil || m.Going || !m.Usable(now, b.set.Params.Workers.ReportS) || !ask.Allows(m.Type, m.Zone, m.Spot) ||
+			ask.Need.Accels == 0 && t.Accels > 0 || !t.Room().Minus(h.used).Plus(h.turn).Holds(ask.Need) {
+			continue
+		}
+		cs = append(cs, candidate{h, m.Zone, h.freeIn(now)})
+	}
+	slices.SortFunc(cs, func(x, y candidate) int {
+		if x.after != y.after {
+			return int(x.after - y.after)
+		}
+		return cmpString(string(x.h.name), string(y.h.name))
+	})
+	if j.Rec.Spec.OneZone && n > 1 {
+		// All in the zone that is soonest complete.
+		count := map[string]int{}
+		for _, c := range cs {
+			if count[c.zone]++; count[c.zone] == n {
+				cs = slices.DeleteFunc(cs, func(o candidate) bool { return o.zone != c.zone })
+				break
+			}
+		}
+	}
+	if len(cs) < n {
+		return false
+	}
+	for _, c := range cs[:n] {
+		b.reserved[c.h.name] = reservation{job: j.Rec.Spec.ID, need: ask.Need, made: now, until: now.Add(asideFor), aside: true}
+	}
+	b.note(j, "%d machines set aside for it, %s the first", n, cs[0].h.name)
+	return true
+}
+
+// freeIn guesses when everything on a machine that ends by itself has ended.
+func (h *host) freeIn(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for p := range h.places {
+		s := &p.Job.Rec.Spec
+		if s.Shape == Service {
+			continue
+		}
+		since := p.ranSince
+		if since.IsZero() || p.status == worker.Pulling {
+			since = now
+		}
+		longest = max(longest, s.Estimate.Duration()-now.Sub(since), time.Second)
+	}
+	return longest
+}
--- a/internal/claim/drain.go
+++ b/internal/claim/drain.go
@@ -74,7 +74,7 @@
 		}
 		if best != nil {
 			b.moved = now
-			b.reserved[best.name] = reservation{p.Job.Rec.Spec.ID, ask.Need, now, now.Add(5 * time.Second)}
+			b.reserved[best.name] = reservation{job: p.Job.Rec.Spec.ID, need: ask.Need, made: now, until: now.Add(5 * time.Second)}
 			b.stop(p, p.leewayWanted(), "moved off "+string(m.Name)+", which is to be returned")
 			return
 		}
--- a/internal/claim/fairness_test.go
+++ b/internal/claim/fairness_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
@@ -43,29 +44,12 @@
 			b.Plan(time.Now())
 			b.store()
 			tick++
-			for name := range b.roster.Machines {
-				var ps []worker.Piece
-				for p := range b.placesOn(name) {
-					pc := worker.Piece{Task: p.Task().String(), Attempt: p.Attempt, Status: worker.Running}
-					if time.Since(p.since) >= runs {
-						pc.Status, pc.Cause = worker.Ended, worker.CauseDone
-						ended[taskAttempt{p.Task(), p.Attempt, name}] = true
-					}
-					ps = append(ps, pc)
-				}
-				b.hear(name, "north", tick, ps...)
-			}
+			b.serve(tick, runs, ended)
 			for id, since := range large {
 				if j := b.jobs[id]; begun[id] == 0 && (j == nil || j.Rec.Attempt > 0) {
 					begun[id] = time.Since(since) + 1
 				}
 			}
-			for j := range b.dirty {
-				if j.Rec.Status.Over() {
-					j.saved = j.version
-					b.forget(j)
-				}
-			}
 			time.Sleep(time.Second)
 		}
 		if len(ended) < 1000 {
@@ -79,3 +63,103 @@
 		t.Log(begun)
 	})
 }
+
+// serve lets a second pass on every machine: tasks placed run for a while, and
+// end done.
+func (b *Book) serve(tick ids.Tick, runs time.Duration, ended map[taskAttempt]bool) {
+	for name := range b.roster.Machines {
+		var ps []worker.Piece
+		for p := range b.placesOn(name) {
+			pc := worker.Piece{Task: p.Task().String(), Attempt: p.Attempt, Status: worker.Running}
+			if p.stopping {
+				pc.Status, pc.Cause = worker.Ended, worker.CauseStopped
+			} else if time.Since(p.since) >= runs {
+				pc.Status, pc.Cause = worker.Ended, worker.CauseDone
+				ended[taskAttempt{p.Task(), p.Attempt, name}] = true
+			}
+			ps = append(ps, pc)
+		}
+		b.hear(name, b.roster.Machines[name].Zone, tick, ps...)
+	}
+	for j := range b.dirty {
+		if j.Rec.Status.Over() {
+			j.saved = j.version
+			b.forget(j)
+		}
+	}
+}
+
+func TestInABurstAfterALossEveryTeamAndTheLargestBegin(t *testing.T) {
+	// A third of the machines is lost with all that ran there, and three times as
+	// much comes in as fits: each class, team and largest job, a gang over half of
+	// what is left too, begins within four minutes.
+	synctest.Test(t, func(t *testing.T) {
+		b := fleet(t, 30)
+		b.set.Params.Teams = nil
+		for i := range 10 {
+			b.set.Params.Teams = append(b.set.Params.Teams, config.Team{Name: fmt.Sprint("team-", i), CPUs: 4})
+		}
+		n, begun := 0, map[string]time.Duration{}
+		jobs := map[ids.Job]string{}
+		add := func(what string, team int, shape Shape, p Priority, tasks int, cores float64) {
+			n++
+			r := rec(ids.Job(fmt.Sprint("job-", n)), fmt.Sprint("team-", team), p, tasks, cores)
+			r.Spec.Shape, r.Spec.Class, r.Spec.Image = shape, what, "image-"+what
+			if shape == Service {
+				r.Spec.Estimate = 0
+			}
+			b.Learn(r.Spec.ID, ids.Stamp(n), r, time.Now())
+			jobs[r.Spec.ID] = what
+			begun[what], begun[r.Spec.Team] = 0, 0
+		}
+		ended := map[taskAttempt]bool{}
+		pass := func(second int) {
+			b.Plan(time.Now())
+			b.store()
+			b.serve(ids.Tick(second+2), 10*time.Second, ended)
+			time.Sleep(time.Second)
+		}
+		for i := range 40 {
+			add("array", i%10, Array, Normal, 6, 1)
+		}
+		for second := range 20 {
+			pass(second)
+		}
+		for i := range 10 {
+			b.MachineGone(ids.Machine(fmt.Sprintf("host-%06d", i)))
+		}
+		clear(begun)
+		lost := time.Now()
+		add("largest array", 0, Array, Low, 150, 4)
+		add("largest gang", 1, Gang, High, 10, 4)
+		for second := range 240 {
+			if second < 120 {
+				for i := range 10 {
+					add("array", i, Array, Normal, 3, 1)
+				}
+				if second%10 == 0 {
+					add("service", second/10%10, Service, Critical, 2, 1)
+					add("low", second/10%10, Array, Low, 4, 2)
+				}
+			}
+			pass(20 + second)
+			for id, what := range jobs {
+				if j := b.jobs[id]; j != nil && j.Rec.Attempt > 0 && len(j.places) > 0 {
+					for _, of := range []string{what, j.Rec.Spec.Team} {
+						if begun[of] == 0 {
+							begun[of] = time.Since(lost)
+						}
+					}
+				}
+			}
+		}
+		for of, after := range begun {
+			if after == 0 || after > 4*time.Minute {
+				t.Errorf("%s: nothing begun (%v)", of, after)
+			}
+		}
+		if len(begun) != 15 {
+			t.Errorf("looked at %d classes and teams", len(begun))
+		}
+	})
+}
--- a/internal/claim/gang.go
+++ b/internal/claim/gang.go
@@ -116,6 +116,9 @@
 	for range missing {
 		ok, victim := b.preempt(j, ask, ps)
 		if !ok {
+			if b.setAside(j, ask, missing, ps.now) {
+				j.waiting = "waits for machines set aside for it"
+			}
 			return
 		}
 		j.waiting = "waits for room freed on " + victim
--- a/internal/claim/preempt.go
+++ b/internal/claim/preempt.go
@@ -18,6 +18,7 @@
 	need  placement.Room // others may use what is beyond it
 	made  time.Time
 	until time.Time
+	aside bool // kept free for it as it empties, nothing was stopped
 }
 
 // preyKey is what decides whom a job may displace.
@@ -187,7 +188,7 @@
 		b.stop(v, lee, fmt.Sprintf("to make room for %s (%s)", j.Rec.Spec.ID, j.Rec.Spec.Priority))
 		grace = max(grace, v.leeway)
 	}
-	b.reserved[best.name] = reservation{j.Rec.Spec.ID, ask.Need, now, now.Add((grace + 10).Duration())}
+	b.reserved[best.name] = reservation{job: j.Rec.Spec.ID, need: ask.Need, made: now, until: now.Add((grace + 10).Duration())}
 	return true, string(best.name), false
 }
 
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -133,7 +133,7 @@
 		}
 		if p == Critical {
 			es[i].rank += 100
-		} else if j.Rec.Attempt == 0 && age > starving.Seconds() {
+		} else if j.starves(now) {
 			es[i].rank += 20
 		}
 		// Among equals, what is soonest complete goes first: a job is worth
@@ -298,6 +298,8 @@
 			why = "no machine has room"
 			if ok, victim := b.preempt(j, &ask, ps); ok {
 				why = "waits for room freed on " + victim
+			} else if b.setAside(j, &ask, 1, now) {
+				why = "waits for a machine set aside for it"
 			}
 			if r == nil {
 				break
@@ -325,6 +327,10 @@
 	}
 	b.touch(j)
 	b.hurry(j)
+	if !j.aside.IsZero() {
+		b.release(j) // it has begun, perhaps elsewhere
+		j.aside = time.Time{}
+	}
 	var fresh []*Place
 	for _, p := range j.places {
 		if p.version == 0 {
@@ -351,7 +357,7 @@
 // that goes first.
 func (b *Book) heldFor(m *placement.Machine, j *Job, now time.Time) bool {
 	r, ok := b.reserved[m.Name]
-	return ok && r.job != j.Rec.Spec.ID && r.until.After(now) && b.outranks(r.job, j) && !m.Free.Minus(r.need).Holds(j.Rec.Spec.Need)
+	return ok && r.job != j.Rec.Spec.ID && r.until.After(now) && b.outranks(r.job, j, now) && !m.Free.Minus(r.need).Holds(j.Rec.Spec.Need)
 }
 
 // release gives up what was freed for a job that found its places: it may have
@@ -365,9 +371,9 @@
 }
 
 // outranks tells whether a reservation's job still goes before j.
-func (b *Book) outranks(id ids.Job, j *Job) bool {
+func (b *Book) outranks(id ids.Job, j *Job, now time.Time) bool {
 	h := b.jobs[id]
-	return h != nil && h.claimable() && h.Rec.Spec.Priority >= j.Rec.Spec.Priority
+	return h != nil && h.claimable() && (h.Rec.Spec.Priority >= j.Rec.Spec.Priority || h.starves(now) && j.Rec.Spec.Priority < Critical)
 }
 
 func (b *Book) place(j *Job, i int, a ids.Attempt, h *host, now time.Time) {
