Late boots are replaced within bounds; jobs with a mistake harm nobody

A machine deleted before it was ever heard stayed on the books, so its deletion was sent four times a second for the rest of the term.

Ruled out: changes of owner (three, each after a trouble), lost answers of hires.

Changed: a boot is late by how long boots take now; what is late is replaced, all that were overtaken by others and of the rest as many as cost a small share of the fleet, and given up once what came in its place is up, or at four times that. A job whose tasks failed on two machines with nothing completed displaces nothing and blames no machine; on three it is tried one task at a time and nothing is rented.

--- a/internal/claim/aside.go
+++ b/internal/claim/aside.go
@@ -32,7 +32,7 @@
 // enough; it tells whether it did. High work stops others instead. It looks at every machine, but once a minute
 // for a job that starves.
 func (b *Book) setAside(j *Job, ask *placement.Ask, n int, now time.Time) bool {
-	if j.Rec.Spec.Priority >= High || !j.starves(now) || now.Sub(j.aside) < asideAgain {
+	if j.Rec.Spec.Priority >= High || j.suspect() || !j.starves(now) || now.Sub(j.aside) < asideAgain {
 		return false
 	}
 	j.aside = now
--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -77,7 +77,7 @@
 	dirtySince     time.Time
 	urgent         bool // what changed must be stored before anything can go on
 	guaranteed     bool // lies within its team's guarantee
-	failedOn       map[ids.Machine]bool
+	failed         failures
 	lost           losses
 	aside          time.Time // when machines to set aside were last looked for
 }
@@ -151,6 +151,7 @@
 	returned     map[ids.Machine]bool // deletions the cloud confirmed
 	size         atomic.Int64         // machines, as last counted
 	dark         map[string]bool      // zones of which nothing was heard at the last look
+	boots        map[string]*boots    // by type
 
 	// Storing tells whether the state service has answered just now. While it
 	// does not, nothing that is stopped could be started again, so nothing is
@@ -180,6 +181,7 @@
 		warm:         map[string]*warmth{},
 		returned:     map[ids.Machine]bool{},
 		dark:         map[string]bool{},
+		boots:        map[string]*boots{},
 		Storing:      func() bool { return true },
 		wakeCommit:   make(chan struct{}, 1), wakePlan: make(chan struct{}, 1),
 	}
@@ -298,7 +300,7 @@
 
 func (b *Book) addJob(r *Record, stamp ids.Stamp, now time.Time) *Job {
 	j := &Job{Rec: *r, stamp: stamp, places: map[int]*Place{}, tries: map[int]*retry{},
-		settled: map[taskAttempt]uint64{}, failedOn: map[ids.Machine]bool{}, version: r.Seq, saved: r.Seq, known: now}
+		settled: map[taskAttempt]uint64{}, version: r.Seq, saved: r.Seq, known: now}
 	if j.version == 0 {
 		j.version, j.saved = 1, 1
 	}
@@ -477,6 +479,7 @@
 		out = append(out, "waits: "+j.waiting)
 	}
 	now := time.Now()
+	out = append(out, j.failureLines(now)...)
 	out = append(out, b.standing(j, now)...)
 	for _, i := range sortedTasks(j.places) {
 		p := j.places[i]
--- a/internal/claim/gang.go
+++ b/internal/claim/gang.go
@@ -15,6 +15,10 @@
 		j.waiting = ""
 		return
 	}
+	if j.rests(now) {
+		j.waiting = j.whyRests()
+		return
+	}
 	if s.Tasks > b.openLimit(j) {
 		j.waiting = "its places do not fit into a record of the state service"
 		return
--- a/internal/claim/hosts.go
+++ b/internal/claim/hosts.go
@@ -225,12 +225,13 @@
 
 // cast takes a machine out of every index: it is gone.
 func (b *Book) cast(name ids.Machine) {
-	h := b.hosts[name]
+	h, m := b.hosts[name], b.roster.Machines[name]
+	// One never heard, with nothing on it, has no entry here, but is gone as well:
+	// else its deletion is asked for again and again.
+	delete(b.roster.Machines, name)
 	if h == nil {
 		return
 	}
-	m := b.roster.Machines[name]
-	delete(b.roster.Machines, name)
 	if m != nil {
 		for _, n := range m.Images.Names {
 			b.keepHolder(h, n)
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -49,7 +49,7 @@
 		w.ask, w.spread, w.critical, w.shape = s.Ask(), s.Spread, s.Priority == Critical, s.Shape
 		w.ask.Types, w.ask.Zone = s.Types, ""
 		w.busy += len(j.places)
-		if j.claimable() {
+		if j.claimable() && !j.failing() {
 			n := j.left()
 			if s.Shape == Array {
 				n = min(n, len(j.places)+b.quota(s, n))
@@ -83,6 +83,7 @@
 	}
 	sort.Slice(types, func(x, y int) bool { return types[x].Label < types[y].Label })
 	ds = append(b.demands(now), b.keeps()...)
+	late := b.latecomers(now)
 	for _, m := range b.roster.Sorted() {
 		t := b.types[m.Type]
 		if t == nil || m.Failed || m.Deleting || m.Draining != "" || !m.TakenAt.IsZero() {
@@ -91,7 +92,7 @@
 		if m.Heard && !m.Usable(now, b.set.Params.Workers.ReportS) || m.Name == b.emptying {
 			continue
 		}
-		u := placement.Up{Name: m.Name, Type: t, Zone: m.Zone, Spot: m.Spot, Coming: !m.Heard, Free: t.Room(), Idle: m.Heard}
+		u := placement.Up{Name: m.Name, Type: t, Zone: m.Zone, Spot: m.Spot, Coming: !m.Heard, Late: late[m.Name], Free: t.Room(), Idle: m.Heard}
 		if h := b.hosts[m.Name]; h != nil {
 			u.Free, u.Turn, u.Idle = u.Free.Minus(h.used), h.turn, m.Heard && len(h.places) == 0
 		}
@@ -141,7 +142,7 @@
 	best := math.Inf(1)
 	for _, t := range b.types {
 		if t.Room().Holds(s.Need) {
-			best = min(best, float64(t.BootS)+s.ImageGB/max(t.PullGBPerS, 0.01))
+			best = min(best, b.bootTime(t).Seconds()+s.ImageGB/max(t.PullGBPerS, 0.01))
 		}
 	}
 	return best
@@ -151,9 +152,12 @@
 // fraction of each, and the share of the room in use now that will be free for
 // them in time: that hangs on how long what runs there takes (runs, by class),
 // not only on how short the waiting job is.
-func (b *Book) want(j *Job, runs map[string]float64) (slots, turn float64) {
+func (b *Book) want(j *Job, runs map[string]float64, now time.Time) (slots, turn float64) {
 	s := &j.Rec.Spec
-	n := j.left() - len(j.places)
+	if j.failing() {
+		return 0, 0
+	}
+	n := j.left() - len(j.places) - j.backingOff(now)
 	n = min(n, b.quota(s, max(n, 0)))
 	if n <= 0 {
 		return 0, 0
@@ -205,7 +209,7 @@
 	var ds []placement.Demand
 	runs := b.running()
 	for _, j := range b.ranked(now) {
-		slots, turn := b.want(j, runs)
+		slots, turn := b.want(j, runs, now)
 		if slots <= 0 {
 			continue
 		}
@@ -380,7 +384,10 @@
 			m.Type, m.Zone, m.Spot, m.Addr = l.Type, l.Zone, l.Spot, l.Addr
 			m.Booting = l.Status == "booting"
 		}
-		m.HeldSince = now.Add(-l.Held.Duration())
+		// The list describes a moment before now: the earliest is nearest.
+		if at := now.Add(-l.Held.Duration()); at.Before(m.HeldSince) {
+			m.HeldSince = at
+		}
 		m.Failed = m.Failed || l.Status == "failed"
 	}
 }
--- a/internal/claim/preempt.go
+++ b/internal/claim/preempt.go
@@ -126,6 +126,9 @@
 // preemptOn picks the machine where stopping others loses least among those
 // that may allows; barren tells that no machine was left to choose from.
 func (b *Book) preemptOn(j *Job, ask *placement.Ask, ps *pass, may func(*placement.Machine, []*Place) bool) (done bool, where string, barren bool) {
+	if j.suspect() {
+		return false, "", false // nothing is stopped for what may fail anyway
+	}
 	if j.Rec.Spec.Priority < High && !j.guaranteed || !b.Storing() {
 		return false, "", true
 	}
@@ -267,7 +270,7 @@
 // already counts as making way.
 func (b *Book) yield(j *Job, n int, now time.Time) bool {
 	s := &j.Rec.Spec
-	if s.Priority < High || !b.Storing() {
+	if s.Priority < High || !b.Storing() || j.suspect() {
 		return false
 	}
 	t, _ := b.set.Team(s.Team)
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -187,6 +187,9 @@
 	Finished  ids.Ranges     `json:"finished"`
 	Places    []placeRec     `json:"places,omitempty"`
 	Trail     []Event        `json:"trail,omitempty"`
+	// FailedOn is on how many machines its tasks failed with none completed, so
+	// that a new owner need not find out again.
+	FailedOn int `json:"failedOn,omitempty"`
 	// Writer and Seq tell a writer that lost an answer whether what it finds
 	// is its own.
 	Writer string `json:"writer"`
--- a/internal/claim/returns.go
+++ b/internal/claim/returns.go
@@ -18,6 +18,7 @@
 	silentAfter := 3*b.set.Params.Workers.ReportS.Duration() + 4*time.Second
 	var out []ids.Machine
 	si := b.listen()
+	si.on, _ = b.coming(now)
 	for _, m := range b.roster.Machines {
 		if needed[m.Name] || !m.Heard {
 			m.NeededAt = now
@@ -42,7 +43,6 @@
 
 func (b *Book) whyReturn(m *worker.Machine, now time.Time, silentAfter time.Duration, needed map[ids.Machine]bool, si *silence) string {
 	empty := len(b.placesOn(m.Name)) == 0
-	t := b.types[m.Type]
 	switch {
 	case m.Failed:
 		return "it stopped by itself"
@@ -56,8 +56,8 @@
 		return "silent"
 	case m.Heard && m.Failures >= 3 && now.Sub(m.Unreached) > b.silentFor(m) && si.alone(m):
 		return "nothing reaches it"
-	case !m.Heard && m.Booting && t != nil && now.Sub(m.HeldSince) > time.Duration(b.set.Own.StuckBootFactor*float64(t.BootS.Duration())):
-		return "it does not come up"
+	case !m.Heard && m.Booting:
+		return b.whyNotAwaited(m, needed[m.Name], si.on, now)
 	case !m.Heard && !m.Booting && si.alone(m) && (now.Sub(m.Born) > 2*silentAfter || !empty && (m.Probes >= 4 || m.Addr == "" && now.Sub(m.Born) > silentAfter)):
 		// It held tasks for an earlier owner and neither answers nor is
 		// listed: returning it proves its tasks gone.
@@ -119,7 +119,8 @@
 	storing     bool
 	zones       map[string]*zoneSilence
 	all, silent int
-	seen        []time.Time // of those heard, in order
+	seen        []time.Time    // of those heard, in order
+	on          map[string]int // on their way and covering a need, by type
 }
 
 // zoneSilence is the same of one zone. It is dark when half of its machines were
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -136,6 +136,9 @@
 		} else if j.starves(now) {
 			es[i].rank += 20
 		}
+		if j.failing() {
+			es[i].rank = -1
+		}
 		// Among equals, what is soonest complete goes first: a job is worth
 		// nothing to its user until its last task is done. Waiting makes up
 		// for size.
@@ -261,8 +264,15 @@
 		j.waiting = ""
 		return
 	}
+	if j.rests(now) {
+		j.waiting = j.whyRests()
+		return
+	}
 	quota, open := b.quota(s, pending), b.openLimit(j)-len(j.places)
 	may := min(pending, quota, open)
+	if j.failing() {
+		may = min(may, 1)
+	}
 	placed := 0
 	why := ""
 	switch {
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -31,10 +31,14 @@
 	moved := m.Type != rep.Type || m.Zone != rep.Zone || m.Spot != rep.Spot
 	idle := m.Heard && !m.Usable(now, b.set.Params.Workers.ReportS)
 	doubted, lost := m.Doubtful(), firstHeard || m.Silent(now) > 2*b.set.Params.Workers.ReportS.Duration()+time.Second
+	booting := m.Booting
 	v := b.roster.Note(m, rep, now, answered, b.gen)
 	if !v.Fresh {
 		return nil
 	}
+	if booting && firstHeard {
+		b.booted(m, now)
+	}
 	h := b.hostOf(m.Name)
 	if firstHeard || moved || v.Moved {
 		b.shelve(h)
@@ -186,6 +190,9 @@
 			}
 		}
 	}
+	if pc.Status == worker.Running && !p.ranSince.IsZero() {
+		b.lasts(p, now)
+	}
 	if pc.Status != worker.Pulling && p.status != pc.Status {
 		s := &p.Job.Rec.Spec
 		cache := math.Inf(1)
@@ -209,9 +216,10 @@
 	now := time.Now()
 	switch pc.Cause {
 	case worker.CauseDone:
-		m.Faults = 0
+		clear(m.Faults)
 		delete(j.tries, i)
 		j.Rec.Finished.Add(i)
+		b.cleared(j)
 		if j.Rec.Spec.Shape == Gang {
 			// A gang completes as one.
 			for n := range j.Rec.Spec.Tasks {
@@ -233,18 +241,7 @@
 	case worker.CauseIncomplete:
 		b.note(j, "task %d ended on %s: the gang was not complete in time", i, m.Name)
 	case worker.CauseError, worker.CauseNoSuch:
-		// A job that fails wherever it runs says nothing about machines.
-		if j.failedOn[m.Name] = true; len(j.failedOn) <= 2 {
-			m.Faults++
-		}
-		if m.Faults >= int(b.set.Own.FaultyAfter) && m.Draining == "" {
-			m.Draining = "tasks keep failing there"
-			b.leaving[m.Name] = true
-			slog.Warn("machine drained", "machine", m.Name, "why", m.Draining)
-		}
-		r := b.backoff(j, i, now)
-		r.avoid[m.Name] = true
-		b.note(j, "task %d failed on %s (%s); tried again elsewhere after %.0fs", i, m.Name, pc.Cause, r.at.Sub(now).Seconds())
+		b.failedTask(p, pc.Cause, m, now)
 	case worker.CauseNoRoom, worker.CauseBusy:
 		b.note(j, "task %d refused by %s: %s", i, m.Name, pc.Cause)
 		r := b.tryOf(j, i)
@@ -284,11 +281,15 @@
 func (b *Book) backoff(j *Job, i int, now time.Time) *retry {
 	r := b.tryOf(j, i)
 	r.fails++
-	wait := b.set.Own.BackoffS * math.Pow(2, float64(min(r.fails, 16)-1))
-	r.at = now.Add(ids.Seconds(min(wait, b.set.Own.BackoffMaxS)).Duration())
+	r.at = now.Add(b.waitAfter(r.fails))
 	return r
 }
 
+func (b *Book) waitAfter(fails int) time.Duration {
+	wait := b.set.Own.BackoffS * math.Pow(2, float64(min(fails, 16)-1))
+	return ids.Seconds(min(wait, b.set.Own.BackoffMaxS)).Duration()
+}
+
 // vanish requeues a task proven not to be on its machine any more.
 func (b *Book) vanish(p *Place, why string) {
 	j := p.Job
--- a/internal/placement/rent.go
+++ b/internal/placement/rent.go
@@ -34,6 +34,9 @@
 	Turn   Room // taken by tasks that end by themselves or may be displaced
 	Coming bool
 	Idle   bool // has no task
+	// Late: on its way for so long that it may never come. It covers only what
+	// can't be had otherwise.
+	Late bool
 }
 
 // Hire is one rental to make.
@@ -78,23 +81,26 @@
 		if d.Together {
 			d.Ask.Zone = gather(&d, ups, types, ok)
 		}
-		for _, i := range order {
-			if left == 0 {
-				break
-			}
-			u := &ups[i]
-			n := d.covers(u, left)
-			if n == 0 {
-				continue
-			}
-			left -= n
-			needed[u.Name] = true
-			take := d.Ask.Need.Times(float64(n))
-			u.Free = u.Free.Minus(take)
-			if short := (Room{}).Minus(u.Free).positive(); short != (Room{}) {
-				u.Free, u.Turn = u.Free.Plus(short), u.Turn.Minus(short)
+		cover := func(late bool) {
+			for _, i := range order {
+				u := &ups[i]
+				if left == 0 || u.Late != late {
+					continue
+				}
+				n := d.covers(u, left)
+				if n == 0 {
+					continue
+				}
+				left -= n
+				needed[u.Name] = true
+				take := d.Ask.Need.Times(float64(n))
+				u.Free = u.Free.Minus(take)
+				if short := (Room{}).Minus(u.Free).positive(); short != (Room{}) {
+					u.Free, u.Turn = u.Free.Plus(short), u.Turn.Minus(short)
+				}
 			}
 		}
+		cover(false)
 		for left > 0 && !d.Hold {
 			h, t, n := cheapest(&d, left, types, perZone, ok)
 			if n == 0 {
@@ -106,6 +112,7 @@
 			ups = append(ups, Up{Type: t, Zone: h.Zone, Spot: h.Spot, Coming: true, Free: t.Room().Minus(d.Ask.Need.Times(float64(n)))})
 			order = append(order, len(ups)-1)
 		}
+		cover(true)
 		if left > 0 && !d.Keep && d.Ask.Need.Accels == 0 {
 			d.Count = left
 			unmet = append(unmet, d)
@@ -154,7 +161,9 @@
 func gather(d *Demand, ups []Up, types []*Type, ok Offers) string {
 	have := map[string]int{}
 	for i := range ups {
-		have[ups[i].Zone] += d.covers(&ups[i], d.Count)
+		if !ups[i].Late {
+			have[ups[i].Zone] += d.covers(&ups[i], d.Count)
+		}
 	}
 	best, bestHas, bestCan := "", 0, false
 	seen := map[string]bool{}
