Owners that wake prove themselves; only workers that miss this owner count as cut off

Found reading the code: an owner that stood still answers what waited on its connections before it knows whether it still owns the pool.

Changed: only workers sent to the present owner count; after a standstill of more than a hold's life nothing is answered or sent before a renewal succeeds, and machines are judged anew. Outcomes of unfinished jobs wait up to 12 s while changes are scarce. Why a job waits is logged at debug.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -72,6 +72,7 @@
 	ended          bool                   // its final record is stored
 	known          time.Time
 	waiting        string // why tasks wait now
+	logged         string // the same, as last logged
 	most           int    // tasks claimed at a time, once a marker did not fit; 0: no such bound
 	slice          slice
 	width          struct {
--- a/internal/claim/commit.go
+++ b/internal/claim/commit.go
@@ -132,18 +132,25 @@
 // others wait for, markers and ends, is never kept waiting.
 const settleEvery = 4 * time.Second
 
+// settleAtLast is the same while changes are scarce: then new work and ends need
+// them more.
+const settleAtLast = 12 * time.Second
+
 // collect picks changed jobs, most urgent first, within the limits of one
 // transaction.
 func (c *Committer) collect() []pending {
 	b := c.Book
 	var dirty []*Job
-	now := time.Now()
+	now, settle := time.Now(), settleEvery
+	if c.State.Budget().Tight() {
+		settle = settleAtLast
+	}
 	for j := range b.dirty {
 		if j.version <= j.saved || j.ended {
 			delete(b.dirty, j)
 			continue
 		}
-		if j.urgent || now.Sub(j.dirtySince) >= settleEvery {
+		if j.urgent || now.Sub(j.dirtySince) >= settle {
 			dirty = append(dirty, j)
 		}
 	}
--- a/internal/claim/dispatch.go
+++ b/internal/claim/dispatch.go
@@ -136,8 +136,10 @@
 type Dispatcher struct {
 	Book      *Book
 	Commander *worker.Commander
-	slots     chan struct{}
-	wake      chan struct{}
+	// May tells whether this owner may still give commands.
+	May   func() bool
+	slots chan struct{}
+	wake  chan struct{}
 }
 
 // NewDispatcher bounds the sends under way, since each holds a socket.
@@ -157,6 +159,9 @@
 		case <-d.wake:
 		case <-time.After(200 * time.Millisecond):
 		}
+		if d.May != nil && !d.May() {
+			continue
+		}
 		d.probe(ctx)
 		for _, ba := range d.Book.batches(cap(d.slots) - len(d.slots)) {
 			d.slots <- struct{}{} // only this loop takes slots, so one is free
--- a/internal/claim/pool.go
+++ b/internal/claim/pool.go
@@ -63,14 +63,15 @@
 	incarnation string
 	mirror      *state.Mirror
 	jobs        *state.Mirror
+	still       standstill
 
 	mu      sync.Mutex
 	term    *Term
-	resting time.Time                 // no campaign before
-	last    lastOwner                 // who owned the pool before this node
-	hints   map[ids.Machine]Hint      // of the last owner heard
-	heardTo HintMark                  // what of its hints is here
-	sent    map[ids.Machine]time.Time // when workers were last sent on to the owner
+	resting time.Time              // no campaign before
+	last    lastOwner              // who owned the pool before this node
+	hints   map[ids.Machine]Hint   // of the last owner heard
+	heardTo HintMark               // what of its hints is here
+	sent    map[ids.Machine]sentOn // workers sent on to the owner
 }
 
 // lastOwner is whose generation this node has seen, and since when.
@@ -82,7 +83,7 @@
 // NewPool makes the pool's client; incarnation tells this process from its
 // node's earlier ones.
 func NewPool(set *config.Settings, c *state.Client, cmd *worker.Commander, incarnation string) *Pool {
-	p := &Pool{Set: set, State: c, Commander: cmd, incarnation: incarnation, sent: map[ids.Machine]time.Time{}}
+	p := &Pool{Set: set, State: c, Commander: cmd, incarnation: incarnation, sent: map[ids.Machine]sentOn{}}
 	p.mirror = state.NewMirror(c, PoolPrefix, 100*time.Millisecond)
 	p.jobs = state.NewMirror(c, JobPrefix, 400*time.Millisecond)
 	p.jobs.OnChange = func(ch state.Change) {
@@ -107,6 +108,8 @@
 
 // Run takes part until the context ends.
 func (p *Pool) Run(ctx context.Context) {
+	p.still.onWake = p.woke
+	go p.still.run(ctx)
 	go p.mirror.Run(ctx)
 	go p.jobs.Run(ctx)
 	life := time.Duration(p.Set.Own.PoolHoldMs) * time.Millisecond
@@ -265,6 +268,7 @@
 	t := &Term{Gen: gen, Book: b, hold: hold, began: now, renewed: sent, loaded: make(chan struct{}), cancel: cancel}
 	t.Committer = NewCommitter(b, p.State, p.Set.HostName, stamp)
 	t.Dispatcher = NewDispatcher(b, p.Commander, p.Set.Sockets().Direct/4)
+	t.Dispatcher.May = func() bool { return p.proven(t) }
 	t.Committer.OnLost = func(why string) { go p.stepDown(t, why) }
 	t.Committer.OnStored = t.Dispatcher.Wake
 	p.State.Budget().SetOwner(true)
@@ -418,25 +422,41 @@
 	return p.heardTo
 }
 
-func (p *Pool) noteRedirect(m ids.Machine) {
+// sentOn is a worker sent on to the owner, perhaps again and again.
+type sentOn struct {
+	to    ids.Node
+	at    time.Time
+	again bool // it came back, so it does not get through
+}
+
+// backWithin is the time in which a worker that does not reach the owner comes back:
+// it waits 4 s for an answer, and another before it tries the next node.
+const backWithin = 10 * time.Second
+
+func (p *Pool) noteRedirect(m ids.Machine, to ids.Node) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.sent) > 20000 {
 		clear(p.sent)
 	}
-	p.sent[m] = time.Now()
+	old := p.sent[m]
+	p.sent[m] = sentOn{to, time.Now(), old.to == to && time.Since(old.at) < backWithin}
 }
 
-// Stranded lists the workers that lately came here and were sent to the owner.
-// Whether they arrive there, the owner knows.
+// arrives is the time in which one sent on reports to the owner at the latest.
+const arrives = 2500 * time.Millisecond
+
+// Stranded lists the workers that were lately sent to the present owner and came
+// back, or should be there by now: whether they are, the owner knows. Those sent to an earlier one say nothing of this one.
 func (p *Pool) Stranded() (out []ids.Machine) {
+	owner, _ := p.Owner()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for m, at := range p.sent {
-		if time.Since(at) < 8*time.Second {
-			out = append(out, m)
-		} else {
+	for m, s := range p.sent {
+		if s.to != owner || time.Since(s.at) >= backWithin {
 			delete(p.sent, m)
+		} else if s.again || time.Since(s.at) > arrives {
+			out = append(out, m)
 		}
 	}
 	return out
@@ -571,6 +591,9 @@
 // entitled tells whether this node may still answer beats: a successor trusts
 // that it stops a fixed time after its last good renewal.
 func (p *Pool) entitled(t *Term) bool {
+	if !p.proven(t) {
+		return false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.term == t && time.Since(t.renewed) < p.Set.Grace().Duration()
@@ -590,7 +613,7 @@
 	t := p.Term()
 	if t == nil {
 		if node, ok := p.Owner(); ok {
-			p.noteRedirect(rep.Machine)
+			p.noteRedirect(rep.Machine, node)
 			return nil, 421, worker.Redirect{AnswerTo: node}
 		}
 		return nil, 503, worker.Redirect{}
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -59,6 +59,10 @@
 	ps := newPass(now)
 	for _, j := range b.ranked(now) {
 		b.claim(j, ps)
+		if j.waiting != j.logged {
+			j.logged = j.waiting
+			slog.Debug("waits", "class", j.Rec.Spec.Class, "job", j.Rec.Spec.ID, "why", j.waiting, "left", j.left(), "placed", len(j.places))
+		}
 	}
 	b.looks += ps.looks
 	b.sample(now)
--- a/internal/state/budget.go
+++ b/internal/state/budget.go
@@ -76,7 +76,7 @@
 
 // headroom leaves a little of the limits unused: clocks drift, and a takeover
 // briefly makes two owners.
-const headroom = 0.92
+const headroom = 0.95
 
 // NewBudget splits the limits among n controllers; ownerShare of the changes
 // is for the pool's owner alone.
@@ -219,6 +219,15 @@
 	borrowedFor = 2 * time.Second
 )
 
+// Tight tells whether most of the changes that this node may make are spoken for:
+// what can wait should.
+func (b *Budget) Tight() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.main()
+	return k.writes.Tokens() < 0.4*float64(k.writes.Burst())
+}
+
 // Wants is how many more changes a second this node could use now; 0 if it
 // gets by. It goes by what was asked for lately, with a margin for what comes at
 // random: one that asked for more only when it had refused somebody would refuse
@@ -269,7 +278,7 @@
 	if k.short > 0 {
 		return 0
 	}
-	got := min(want, float64(k.writes.Limit())-max(1.5*using, k.base/4, 1))
+	got := min(want, float64(k.writes.Limit())-max(1.5*using+1, k.base/2))
 	if got < 0.5 {
 		return 0
 	}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"sync"
 	"testing"
@@ -224,7 +225,7 @@
 				}
 			})
 		}
-		alone := int(0.4 * wps / 2 * headroom * 20)
+		alone := int(math.Floor(0.4 * wps / 2 * headroom * 20))
 		if bs < alone*3/2 {
 			t.Errorf("%d changes in 20 s, hardly more than its own %d", bs, alone)
 		}
@@ -235,7 +236,7 @@
 		for range 50 {
 			second(func() { bs += use(b, Spare) })
 		}
-		if most := int(0.4*wps/2*headroom*5) + 2; bs > most {
+		if most := int(math.Floor(0.4*wps/2*headroom*5)) + 2; bs > most {
 			t.Errorf("%d changes in 5 s on a part of %d", bs, most)
 		}
 		// Whatever both can use together stays below the limit.
