Places by machine alone, owners keep their pool, blame only by good jobs, fewer questions

The vast array still waited for its record: scattered over 300 machines, each place took 12 to 24 bytes, most of it the machine's name. An owner of a thousand machines asked half of them between any two reports.

Ruled out for the array: room (no machine had room in 34 of 1,460 looks), write tokens, takeovers.

Changed: places less what the names begin with alike, and the usual attempt and session; a worker counts as missing the owner only if not heard since it was sent on; failures tell of machines only once their job is known to be good; 30 questions a second to machines not overdue; nothing is rented or returned while the hold is not sure; lenders keep what they used a moment ago.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -135,6 +135,7 @@
 	lapsed     time.Time            // when lapses were last looked for
 	probedAt   time.Time            // when overdue machines were last looked for
 	probing    int                  // questions under way
+	early      float64              // questions before a report is overdue that may be asked now
 	hintSeq    uint64               // counts what the others should know
 	first      ids.Generation       // the term's first generation
 
@@ -588,21 +589,20 @@
 
 // cutOff tells whether this node has lost most machines while others reach
 // them.
-func (b *Book) cutOff(stranded []ids.Machine, now time.Time) bool {
+func (b *Book) cutOff(stranded []Strand, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	// Whoever was sent here by another node is here within a moment; what is
 	// heard of the others in that time shows that the way is good. Reports may be
 	// far apart: to wait until they are overdue would take longer for nothing.
-	overdue := min(b.set.Params.Workers.ReportS.Duration()*5/4, strandedFor)
 	silent, heard := 0, 0
 	for _, m := range b.roster.Machines {
-		if m.Heard && m.Silent(now) < overdue {
+		if m.Heard && m.Silent(now) < strandedFor {
 			heard++
 		}
 	}
-	for _, name := range stranded {
-		if m := b.roster.Machines[name]; m != nil && m.Silent(now) >= overdue {
+	for _, s := range stranded {
+		if m := b.roster.Machines[s.Machine]; m != nil && (!m.Heard || m.Silent(now) > s.Ago) {
 			silent++
 		}
 	}
--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -169,12 +169,20 @@
 	if r := b.jobs["job-1"].tries[0]; r.fails != 6 || time.Until(r.at) < 30*time.Second {
 		t.Errorf("%d failures, next try in %v", r.fails, time.Until(r.at))
 	}
-	// Different jobs that fail on one machine condemn it.
+	// Jobs that fail on one machine and complete on another condemn it.
 	for n := range 2 {
 		id := ids.Job(fmt.Sprint("job-10", n))
 		b.Learn(id, ids.Stamp(n+5), rec(id, "blue", Normal, 1, 1), now)
 		b.hear("bad", "north", ids.Tick(2*n+1), worker.Piece{Task: string(id) + "/0", Attempt: 1, Status: worker.Running})
 		b.hear("bad", "north", ids.Tick(2*n+2), worker.Piece{Task: string(id) + "/0", Attempt: 1, Status: worker.Ended, Cause: worker.CauseError})
+		if b.roster.Machines["bad"].Draining != "" {
+			t.Error("condemned by jobs of which nothing completed yet")
+		}
+	}
+	for n := range 2 {
+		task := fmt.Sprintf("job-10%d/0", n)
+		b.hear("good", "north", ids.Tick(2*n+1), worker.Piece{Task: task, Attempt: 2, Status: worker.Running})
+		b.hear("good", "north", ids.Tick(2*n+2), worker.Piece{Task: task, Attempt: 2, Status: worker.Ended, Cause: worker.CauseDone})
 	}
 	if b.roster.Machines["bad"].Draining == "" {
 		t.Error("a machine on which different jobs fail is still used")
--- a/internal/claim/dispatch.go
+++ b/internal/claim/dispatch.go
@@ -227,8 +227,10 @@
 	if now.Sub(b.probedAt) < 100*time.Millisecond {
 		return nil
 	}
+	b.early = min(earlyAsks, b.early+earlyAsks*now.Sub(b.probedAt).Seconds())
 	b.probedAt = now
-	var ask []*worker.Machine
+	report := b.set.Params.Workers.ReportS.Duration()
+	var ask, early []*worker.Machine
 	for _, m := range b.roster.Machines {
 		if m.Deleting || m.Probing || m.Addr == "" {
 			continue
@@ -244,9 +246,18 @@
 			again = max(again, b.set.Params.Workers.ReportS.Duration()/2)
 		}
 		if now.Sub(m.Asked) > again && (m.Heard && (m.Silent(now) > overdue || !m.Unreached.IsZero()) || !m.Heard && !m.Booting) {
-			ask = append(ask, m)
+			if m.Heard && m.Probes == 0 && m.Unreached.IsZero() && m.Silent(now) < report*5/4 && !b.stays(m) {
+				early = append(early, m)
+			} else {
+				ask = append(ask, m)
+			}
 		}
 	}
+	// Of those not overdue yet, only the longest silent.
+	slices.SortFunc(early, func(x, y *worker.Machine) int { return x.Seen.Compare(y.Seen) })
+	early = early[:min(len(early), int(b.early))]
+	b.early -= float64(len(early))
+	ask = append(ask, early...)
 	// Those with replicas first, then whoever waits longest: hundreds that are
 	// silent take turns.
 	slices.SortFunc(ask, func(x, y *worker.Machine) int {
@@ -273,6 +284,12 @@
 	return out
 }
 
+// earlyAsks is how many machines without replicas are asked in a second before their
+// reports, which come up to a quarter later than their interval, are overdue: in a
+// large fleet half of all machines are that silent at any time, and to ask each of
+// them costs its owner as much as their reports do.
+const earlyAsks = 30.0
+
 // keenProbes is how many questions in a row are asked closely after another.
 const keenProbes = 4
 
--- a/internal/claim/mistakes.go
+++ b/internal/claim/mistakes.go
@@ -16,7 +16,7 @@
 
 // failures is what is known of a job's failed tasks since one last completed.
 type failures struct {
-	on     map[ids.Machine]bool
+	on     map[ids.Machine]int // how many failed there
 	tasks  int
 	rounds int       // tries of the whole job since it counts as failing
 	at     time.Time // no try before, once it counts as failing
@@ -31,7 +31,7 @@
 )
 
 // suspect tells that the job rather than a machine may be at fault: nothing is
-// stopped for it, and no machine is blamed for its failures.
+// stopped for it.
 func (j *Job) suspect() bool {
 	return j.Rec.Finished.Len() == 0 && max(len(j.failed.on), j.Rec.FailedOn) >= suspectAfter
 }
@@ -57,9 +57,9 @@
 func (b *Book) failedTask(p *Place, cause string, m *worker.Machine, now time.Time) {
 	j, f := p.Job, &p.Job.failed
 	if f.on == nil {
-		f.on = map[ids.Machine]bool{}
+		f.on = map[ids.Machine]int{}
 	}
-	f.on[m.Name] = true
+	f.on[m.Name]++
 	f.tasks++
 	if !p.ranSince.IsZero() {
 		f.ran = max(f.ran, now.Sub(p.ranSince))
@@ -67,78 +67,45 @@
 	r := b.backoff(j, p.Index, now)
 	r.avoid[m.Name] = true
 	b.note(j, "task %d failed on %s (%s); tried again elsewhere after %.0fs", p.Index, m.Name, cause, r.at.Sub(now).Seconds())
-	if j.Rec.Finished.Len() == 0 {
-		j.Rec.FailedOn = max(j.Rec.FailedOn, len(f.on))
+	if j.Rec.Finished.Len() > 0 {
+		b.cleared(j)
+		return
 	}
+	j.Rec.FailedOn = max(j.Rec.FailedOn, len(f.on))
 	// Of a whole round's failures the first one counts.
 	if j.failing() && !now.Before(f.at) {
 		f.rounds++
 		f.at = now.Add(b.waitAfter(f.rounds))
 		b.note(j, "%s; next after %.0fs", j.whyRests(), f.at.Sub(now).Seconds())
 	}
-	if j.suspect() {
-		for name := range f.on {
-			b.unblame(name, j.Rec.Spec.ID)
-		}
-		return
-	}
-	m.Blame(j.Rec.Spec.ID)
-	b.judge(m)
 }
 
 // cleared takes in that the job is good: one of its tasks completed, or runs for far
-// longer than those that failed. What failed before tells of the machines.
+// longer than those that failed. Only now its failures tell of the machines. To
+// blame one for jobs that may all be at fault themselves would cost good machines.
 func (b *Book) cleared(j *Job) {
 	on := j.failed.on
-	if on == nil && j.Rec.FailedOn == 0 {
-		return
-	}
 	j.failed, j.Rec.FailedOn = failures{}, 0
-	for name := range on {
-		if m := b.roster.Machines[name]; m != nil {
-			m.Blame(j.Rec.Spec.ID)
-			b.judge(m)
+	for name, n := range on {
+		m := b.roster.Machines[name]
+		if m == nil {
+			continue
+		}
+		if m.Faults += n; m.Faults >= int(b.set.Own.FaultyAfter) && m.Draining == "" {
+			m.Draining = "tasks keep failing there"
+			b.leaving[m.Name] = true
+			slog.Warn("machine drained", "machine", m.Name, "why", m.Draining)
 		}
 	}
 }
 
 // lasts takes in that a task of a job with failures goes on running.
 func (b *Book) lasts(p *Place, now time.Time) {
-	if f := &p.Job.failed; (len(f.on) > 0 || p.Job.Rec.FailedOn > 0) && now.Sub(p.ranSince) > 30*time.Second+2*f.ran {
+	if f := &p.Job.failed; (f.tasks > 0 || p.Job.Rec.FailedOn > 0) && now.Sub(p.ranSince) > 30*time.Second+2*f.ran {
 		b.cleared(p.Job)
 	}
 }
 
-// judge takes a machine out of use on which good or different jobs failed.
-func (b *Book) judge(m *worker.Machine) {
-	sum, proven := 0, len(m.Faults) > 1
-	for id, n := range m.Faults {
-		sum += n
-		j := b.jobs[id]
-		proven = proven || j == nil || j.Rec.Finished.Len() > 0
-	}
-	if proven && sum >= int(b.set.Own.FaultyAfter) && m.Draining == "" {
-		m.Draining = failingThere
-		b.leaving[m.Name] = true
-		slog.Warn("machine drained", "machine", m.Name, "why", m.Draining)
-	}
-}
-
-// unblame takes back what a job's failures said of a machine.
-func (b *Book) unblame(name ids.Machine, id ids.Job) {
-	m := b.roster.Machines[name]
-	if m == nil || m.Faults[id] == 0 {
-		return
-	}
-	delete(m.Faults, id)
-	if m.Draining == failingThere && !m.Deleting {
-		m.Draining = ""
-		b.judge(m)
-	}
-}
-
-const failingThere = "tasks keep failing there"
-
 // failureLines explains a job's failures.
 func (j *Job) failureLines(now time.Time) (out []string) {
 	if j.failing() {
--- a/internal/claim/mistakes_test.go
+++ b/internal/claim/mistakes_test.go
@@ -217,13 +217,55 @@
 		for i, name := range all[:8] {
 			b.hear(name, "north", ids.Tick(i+5))
 		}
-		if b.cutOff(all[20:26], time.Now()) {
+		var sent []Strand
+		for _, name := range all[20:26] {
+			sent = append(sent, Strand{name, 3 * time.Second})
+		}
+		if b.cutOff(sent, time.Now()) {
 			t.Error("gives way for a few machines, while more are heard")
 		}
 		time.Sleep(4 * time.Second)
-		if !b.cutOff(all[20:26], time.Now()) {
+		if !b.cutOff(sent, time.Now()) {
 			t.Error("waits for reports to be overdue, though nobody is heard and others reach another node")
 		}
+		// Right after a takeover all report at once and then nobody for a while:
+		// they have been here since they were sent on.
+		for i := range sent {
+			sent[i].Ago = 10 * time.Second
+		}
+		if b.cutOff(sent, time.Now()) {
+			t.Error("gives way for workers that arrived")
+		}
+	})
+}
+
+func TestWorkersSentToAnEarlierOwnerSayNothingOfThisOne(t *testing.T) {
+	// Found on a day with a crash: the workers that had been sent on to the dead owner,
+	// or had been here since, made each new one give way a few seconds after its
+	// takeover.
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPool(testSet(), nil, nil, "a.1")
+		now := ""
+		p.known = func() (ids.Node, bool) { return ids.Node(now), now != "" }
+		now = "b"
+		p.noteRedirect("m1", "b")
+		time.Sleep(3 * time.Second)
+		if got := p.Stranded(); len(got) != 1 {
+			t.Errorf("not told of a worker that should have been there: %v", got)
+		}
+		now = "c"
+		if got := p.Stranded(); len(got) != 0 {
+			t.Errorf("%v was sent to an earlier owner", got)
+		}
+		p.noteRedirect("m1", "c")
+		time.Sleep(time.Second)
+		if got := p.Stranded(); len(got) != 0 {
+			t.Errorf("%v is only on its way", got)
+		}
+		p.noteRedirect("m1", "c")
+		if got := p.Stranded(); len(got) != 1 {
+			t.Errorf("not told of one that came back: %v", got)
+		}
 	})
 }
 
@@ -258,3 +300,31 @@
 func hireOf(label, zone string) placement.Hire {
 	return placement.Hire{Type: label, Zone: zone, Count: 1}
 }
+
+func TestPlacesReadBackAsTheyWere(t *testing.T) {
+	// Sessions, attempts and tokens apart, and names of which one begins another.
+	places := map[int]*Place{}
+	for i := range 400 {
+		places[i*7%1000] = &Place{Index: i * 7 % 1000, Machine: ids.Machine(fmt.Sprintf("host-%d", i%37)), Session: ids.Session(1 + i%11/10),
+			Attempt: ids.Attempt(1 + i%5/3*i), Token: ids.Generation(3 + i%100/97)}
+	}
+	r := &Record{Places: packPlaces(places)}
+	raw, ok := r.Encode(1 << 20)
+	if !ok {
+		t.Fatal("not encoded")
+	}
+	back, err := Decode(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	back.eachPlace(func(i int, at spot) {
+		n++
+		if p := places[i]; p == nil || at != (spot{p.Machine, p.Session, p.Attempt, p.Token}) {
+			t.Errorf("task %d is read back as %v", i, at)
+		}
+	})
+	if n != len(places) {
+		t.Errorf("%d of %d places read back", n, len(places))
+	}
+}
--- a/internal/claim/pool.go
+++ b/internal/claim/pool.go
@@ -64,6 +64,7 @@
 	mirror      *state.Mirror
 	jobs        *state.Mirror
 	still       standstill
+	known       func() (ids.Node, bool) // who owns the pool
 
 	mu      sync.Mutex
 	term    *Term
@@ -84,6 +85,7 @@
 // node's earlier ones.
 func NewPool(set *config.Settings, c *state.Client, cmd *worker.Commander, incarnation string) *Pool {
 	p := &Pool{Set: set, State: c, Commander: cmd, incarnation: incarnation, sent: map[ids.Machine]sentOn{}}
+	p.known = p.Owner
 	p.mirror = state.NewMirror(c, PoolPrefix, 100*time.Millisecond)
 	p.jobs = state.NewMirror(c, JobPrefix, 400*time.Millisecond)
 	p.jobs.OnChange = func(ch state.Change) {
@@ -424,14 +426,23 @@
 
 // sentOn is a worker sent on to the owner, perhaps again and again.
 type sentOn struct {
-	to    ids.Node
-	at    time.Time
-	again bool // it came back, so it does not get through
+	to          ids.Node
+	first, last time.Time
 }
 
-// backWithin is the time in which a worker that does not reach the owner comes back:
-// it waits 4 s for an answer, and another before it tries the next node.
-const backWithin = 10 * time.Second
+// Strand is a worker that was sent on to the owner and may not have got there.
+type Strand struct {
+	Machine ids.Machine
+	Ago     time.Duration // when it was first sent on
+}
+
+// A worker sent on reports to the owner within arrives. One that does not get
+// through is back within backWithin: it waits 4 s for an answer, and another before it
+// tries the next node.
+const (
+	arrives    = 2500 * time.Millisecond
+	backWithin = 10 * time.Second
+)
 
 func (p *Pool) noteRedirect(m ids.Machine, to ids.Node) {
 	p.mu.Lock()
@@ -439,24 +450,27 @@
 	if len(p.sent) > 20000 {
 		clear(p.sent)
 	}
-	old := p.sent[m]
-	p.sent[m] = sentOn{to, time.Now(), old.to == to && time.Since(old.at) < backWithin}
+	now := time.Now()
+	s := p.sent[m]
+	if s.to != to || now.Sub(s.last) > backWithin {
+		s = sentOn{to: to, first: now}
+	}
+	s.last = now
+	p.sent[m] = s
 }
 
-// arrives is the time in which one sent on reports to the owner at the latest.
-const arrives = 2500 * time.Millisecond
-
 // Stranded lists the workers that were lately sent to the present owner and came
-// back, or should be there by now: whether they are, the owner knows. Those sent to an earlier one say nothing of this one.
-func (p *Pool) Stranded() (out []ids.Machine) {
-	owner, _ := p.Owner()
+// back, or should be there by now: whether they have been, the owner knows. Those sent
+// to an earlier one say nothing of this one.
+func (p *Pool) Stranded() (out []Strand) {
+	owner, _ := p.known()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for m, s := range p.sent {
-		if s.to != owner || time.Since(s.at) >= backWithin {
+		if s.to != owner || time.Since(s.last) >= backWithin {
 			delete(p.sent, m)
-		} else if s.again || time.Since(s.at) > arrives {
-			out = append(out, m)
+		} else if s.last != s.first || time.Since(s.first) > arrives {
+			out = append(out, Strand{m, time.Since(s.first)})
 		}
 	}
 	return out
@@ -465,7 +479,7 @@
 // Reconsider is told by a peer which workers reach it but not this owner. If
 // those are most of the machines, this node is cut off from the workers and
 // gives the pool up, at once and for a while, to one that is not.
-func (p *Pool) Reconsider(stranded []ids.Machine) {
+func (p *Pool) Reconsider(stranded []Strand) {
 	t := p.Term()
 	if t == nil || len(stranded) == 0 || !t.Book.cutOff(stranded, time.Now()) {
 		return
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -125,48 +125,71 @@
 	token   ids.Generation
 }
 
-// placeRec is the places whose starts carry one token. Each is written as
-// "machine/session/attempt:tasks": spelled out as JSON objects, the places of a
-// large array would not fit into a value, and it would run in many small
-// batches.
+// placeRec is the places whose starts carry one token. They are written as
+// "machine:tasks machine/attempt:tasks machine/attempt/session:tasks", less what the
+// machines' names begin with alike, the attempt and session that most have, and
+// counted from the lowest task: spelled out as JSON objects, the places of a large
+// array would not fit into a value, and it would run in many small batches.
 type placeRec struct {
-	Token ids.Generation `json:"g"`
-	On    []string       `json:"on"`
+	Token   ids.Generation `json:"g"`
+	Session ids.Session    `json:"s"`
+	Attempt ids.Attempt    `json:"a"`
+	Prefix  string         `json:"p,omitempty"`
+	Base    int            `json:"b,omitempty"`
+	On      string         `json:"on"`
 }
 
-func (s spot) write(tasks *ids.Ranges) string {
-	return fmt.Sprintf("%s/%d/%d:%s", s.machine, s.session, s.attempt, tasks)
+// each calls f for every place, in the order written.
+func (pr *placeRec) each(f func(task int, at spot)) error {
+	for _, text := range strings.Fields(pr.On) {
+		at := spot{session: pr.Session, attempt: pr.Attempt, token: pr.Token}
+		head, list, ok := strings.Cut(text, ":")
+		parts := strings.Split(head, "/")
+		if !ok || len(parts) > 3 {
+			return fmt.Errorf("not a place: %.80q", text)
+		}
+		at.machine = ids.Machine(pr.Prefix + parts[0])
+		for k, part := range parts[1:] {
+			n, err := strconv.ParseUint(part, 10, 64)
+			if err != nil {
+				return err
+			}
+			if k == 0 {
+				at.attempt = ids.Attempt(n)
+			} else {
+				at.session = ids.Session(n)
+			}
+		}
+		var tasks ids.Ranges
+		if err := tasks.UnmarshalText([]byte(list)); err != nil {
+			return err
+		}
+		tasks.Each(func(i int) { f(pr.Base+i, at) })
+	}
+	return nil
 }
 
-func readSpot(text string) (s spot, tasks ids.Ranges, err error) {
-	head, list, ok := strings.Cut(text, ":")
-	parts := strings.Split(head, "/")
-	if !ok || len(parts) != 3 {
-		return s, tasks, fmt.Errorf("not a place: %.80q", text)
+// write appends one machine's tasks of one attempt.
+func (pr *placeRec) write(to *strings.Builder, at spot, tasks *ids.Ranges) {
+	if to.Len() > 0 {
+		to.WriteByte(' ')
 	}
-	session, err := strconv.ParseUint(parts[1], 10, 64)
-	if err != nil {
-		return s, tasks, err
+	to.WriteString(string(at.machine)[len(pr.Prefix):])
+	if at.attempt != pr.Attempt || at.session != pr.Session {
+		fmt.Fprintf(to, "/%d", at.attempt)
 	}
-	attempt, err := strconv.ParseUint(parts[2], 10, 64)
-	if err != nil {
-		return s, tasks, err
+	if at.session != pr.Session {
+		fmt.Fprintf(to, "/%d", at.session)
 	}
-	s = spot{machine: ids.Machine(parts[0]), session: ids.Session(session), attempt: ids.Attempt(attempt)}
-	return s, tasks, tasks.UnmarshalText([]byte(list))
+	to.WriteByte(':')
+	to.WriteString(tasks.String())
 }
 
 // eachPlace calls f for every task that may be on a machine.
 func (r *Record) eachPlace(f func(task int, at spot)) {
-	for _, pr := range r.Places {
-		for _, text := range pr.On {
-			s, tasks, err := readSpot(text)
-			if err != nil {
-				slog.Error("unreadable place", "job", r.Spec.ID, "err", err)
-				continue
-			}
-			s.token = pr.Token
-			tasks.Each(func(i int) { f(i, s) })
+	for k := range r.Places {
+		if err := r.Places[k].each(f); err != nil {
+			slog.Error("unreadable place", "job", r.Spec.ID, "err", err)
 		}
 	}
 }
@@ -235,38 +258,69 @@
 
 // packPlaces groups places so that a large job's record stays small.
 func packPlaces(places map[int]*Place) []placeRec {
-	groups := map[spot]*ids.Ranges{}
-	var order []spot
+	type group struct {
+		rec      placeRec
+		on       map[spot]*ids.Ranges
+		list     []spot
+		attempts map[ids.Attempt]int
+		sessions map[ids.Session]int
+	}
+	groups := map[ids.Generation]*group{}
+	var order []*group
 	for _, i := range sortedTasks(places) {
 		p := places[i]
-		k := spot{p.Machine, p.Session, p.Attempt, p.Token}
-		if groups[k] == nil {
-			groups[k] = &ids.Ranges{}
-			order = append(order, k)
+		g := groups[p.Token]
+		if g == nil {
+			g = &group{on: map[spot]*ids.Ranges{}, attempts: map[ids.Attempt]int{}, sessions: map[ids.Session]int{}}
+			g.rec = placeRec{Token: p.Token, Base: i, Prefix: string(p.Machine)}
+			groups[p.Token], order = g, append(order, g)
 		}
-		groups[k].Add(i)
+		at := spot{p.Machine, p.Session, p.Attempt, p.Token}
+		if g.on[at] == nil {
+			g.on[at] = &ids.Ranges{}
+			g.list = append(g.list, at)
+			g.rec.Prefix = alike(g.rec.Prefix, string(p.Machine))
+			g.attempts[p.Attempt]++
+			g.sessions[p.Session]++
+		}
+		g.on[at].Add(i - g.rec.Base)
 	}
-	var out []placeRec
-	at := map[ids.Generation]int{}
-	for _, k := range order {
-		n, ok := at[k.token]
-		if !ok {
-			n = len(out)
-			at[k.token] = n
-			out = append(out, placeRec{Token: k.token})
+	out := make([]placeRec, 0, len(order))
+	for _, g := range order {
+		g.rec.Attempt, g.rec.Session = most(g.attempts), most(g.sessions)
+		var on strings.Builder
+		for _, at := range g.list {
+			g.rec.write(&on, at, g.on[at])
 		}
-		out[n].On = append(out[n].On, k.write(groups[k]))
+		g.rec.On = on.String()
+		out = append(out, g.rec)
 	}
 	return out
 }
 
+// most is the number counted most often, the lowest of equals.
+func most[N ids.Attempt | ids.Session](count map[N]int) (best N) {
+	for n, k := range count {
+		if k > count[best] || k == count[best] && n < best {
+			best = n
+		}
+	}
+	return best
+}
+
+// alike is what two names begin with alike.
+func alike(a, z string) string {
+	n := 0
+	for n < min(len(a), len(z)) && a[n] == z[n] {
+		n++
+	}
+	return a[:n]
+}
+
 // placesSize is about how many bytes of a record its places take.
 func placesSize(prs []placeRec) (n int) {
-	for _, pr := range prs {
-		n += 20
-		for _, text := range pr.On {
-			n += len(text) + 3
-		}
+	for i := range prs {
+		n += 50 + len(prs[i].On) + len(prs[i].Prefix)
 	}
 	return n
 }
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -216,9 +216,10 @@
 	now := time.Now()
 	switch pc.Cause {
 	case worker.CauseDone:
-		clear(m.Faults)
+		m.Faults = 0
 		delete(j.tries, i)
 		j.Rec.Finished.Add(i)
+		delete(j.failed.on, m.Name)
 		b.cleared(j)
 		if j.Rec.Spec.Shape == Gang {
 			// A gang completes as one.
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -98,6 +98,11 @@
 	for _, in := range append([]Intent(nil), k.open...) {
 		k.send(ctx, in)
 	}
+	if k.Sure != nil && !k.Sure() {
+		// Cut off or in an outage this owner hears of nothing: whatever it would
+		// decide might long be otherwise.
+		return
+	}
 	// Decided only now: what an open hire has rented must count, or a lost
 	// answer would rent everything twice.
 	dark := k.Book.DarkZones()
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -171,3 +173,89 @@
 		}
 	})
 }
+
+func TestQuestionsManyTimesAsOftenCrowdOutNothing(t *testing.T) {
+	// Guards against each question costing a call of its own: thousands ask at once,
+	// with the calls a second that one of five controllers has, and meanwhile jobs are
+	// submitted and cancelled.
+	synctest.Test(t, func(t *testing.T) {
+		n, _, d := desk()
+		calls := 0
+		var mu sync.Mutex
+		n.SetRule(func(string, string, *http.Request, []byte) fake.Fate {
+			mu.Lock()
+			defer mu.Unlock()
+			calls++
+			return fake.Deliver
+		})
+		d.State = state.NewClient("state:1", n.Client("a"), state.NewBudget(200, 50, 5, 0.45))
+		d.Jobs = state.NewMirror(d.State, claim.JobPrefix, time.Second)
+		h := (&Site{Desk: d, Ready: func() bool { return true }}).Handler()
+		if got := call(h, "POST", "/v2/runs", good()).Code; got != 201 {
+			t.Fatal(got)
+		}
+		var wg sync.WaitGroup
+		codes := map[int]int{}
+		for range 5000 {
+			wg.Go(func() {
+				began := time.Now()
+				got := call(h, "GET", "/v2/runs/job-1", nil).Code
+				mu.Lock()
+				defer mu.Unlock()
+				codes[got]++
+				if time.Since(began) > time.Second {
+					t.Errorf("answered after %v", time.Since(began))
+				}
+			})
+			time.Sleep(400 * time.Microsecond)
+		}
+		for i := range 3 {
+			m := good()
+			m["uid"] = fmt.Sprint("job-2", i)
+			if got := call(h, "POST", "/v2/runs", m).Code; got != 201 {
+				t.Errorf("a submission meanwhile got %d", got)
+			}
+		}
+		if got := call(h, "POST", "/v2/runs/job-20/cancel", nil).Code; got != 200 {
+			t.Errorf("a cancel meanwhile got %d", got)
+		}
+		wg.Wait()
+		if codes[200] != 5000 || calls > 60 {
+			t.Errorf("answers %v, %d calls to the store", codes, calls)
+		}
+	})
+}
+
+func TestANodeThatTheStoreDoesNotAnswerSaysSoAtOnce(t *testing.T) {
+	// Guards against every user finding out by a call that hangs: a cut says nothing.
+	synctest.Test(t, func(t *testing.T) {
+		n, _, d := desk()
+		served := true
+		h := (&Site{Desk: d, Ready: func() bool { return served }}).Handler()
+		if got := call(h, "POST", "/v2/runs", good()).Code; got != 201 {
+			t.Fatal(got)
+		}
+		if got := call(h, "GET", "/v2/runs/job-1", nil).Code; got != 200 {
+			t.Fatal(got)
+		}
+		n.SetRule(func(string, string, *http.Request, []byte) fake.Fate { return fake.Swallow })
+		time.Sleep(3 * time.Second)
+		served = false
+		for _, c := range []struct{ method, path string }{
+			{"GET", "/v2/runs/job-1"}, {"POST", "/v2/runs/job-1/cancel"}, {"POST", "/v2/runs"},
+		} {
+			began := time.Now()
+			m := good()
+			m["uid"] = "job-5"
+			out := call(h, c.method, c.path, m)
+			if out.Code != 503 || out.Header().Get("Retry-After") == "" || out.Header().Get("Connection") != "close" || time.Since(began) > 50*time.Millisecond {
+				t.Errorf("%s %s: %d after %v, %v", c.method, c.path, out.Code, time.Since(began), out.Header())
+			}
+		}
+		// Operators are told what it knows, as what it is.
+		out := call(h, "GET", "/v2/runs/job-1/explain", nil)
+		if out.Code != 200 || !strings.Contains(out.Body.String(), "knew last") || !strings.Contains(out.Body.String(), "unknown") {
+			t.Errorf("explain: %d %s", out.Code, out.Body)
+		}
+	})
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -51,7 +51,7 @@
 	// per second; Lent answers.
 	Want, Lent float64
 	// Stranded are workers that come back from being sent to the owner.
-	Stranded []ids.Machine
+	Stranded []claim.Strand
 }
 
 // Empty is no answer.
--- a/internal/state/budget.go
+++ b/internal/state/budget.go
@@ -240,7 +240,12 @@
 		dt := max(0.2, now.Sub(k.told).Seconds())
 		k.pace = max(k.asked/dt, 0.8*k.pace)
 		k.asked, k.told = 0, now
-		more := 1.7*k.pace - k.base
+		// What the owner writes may wait a little for its turn, a user's may not.
+		margin := 1.7
+		if k == &b.pool {
+			margin = 1.2
+		}
+		more := margin*k.pace - k.base
 		if k.short > 0 {
 			more = max(more, k.base)
 		}
@@ -278,7 +283,8 @@
 	if k.short > 0 {
 		return 0
 	}
-	got := min(want, float64(k.writes.Limit())-max(1.5*using+1, k.base/2))
+	// What a node used a moment ago comes again, and in clumps.
+	got := min(want, float64(k.writes.Limit())-max(1.5*max(using, k.pace)+1, k.base/2))
 	if got < 0.5 {
 		return 0
 	}
--- a/internal/worker/roster.go
+++ b/internal/worker/roster.go
@@ -54,8 +54,8 @@
 	// zero while they are answered. Its reports may arrive all the same, when
 	// only the way to it is cut: they do not end this.
 	Unreached time.Time
-	Failures  int             // unanswered ones since then
-	Faults    map[ids.Job]int // tasks that failed there since one last completed
+	Failures  int // unanswered ones since then
+	Faults    int // tasks of good jobs that failed there since one last completed
 	Lates     []Late
 	Images    Images
 	Hinted    ids.Session // as an earlier owner knew it
@@ -239,11 +239,3 @@
 	}
 	return false
 }
-
-// Blame notes that a task of a job failed there.
-func (m *Machine) Blame(j ids.Job) {
-	if m.Faults == nil {
-		m.Faults = map[ids.Job]int{}
-	}
-	m.Faults[j]++
-}
