--- a/internal/claim/aside.go
+++ b/internal/claim/aside.go
@@ -28,11 +28,21 @@
 	asideShare = 20
 )
 
+// wantsAside tells whether machines are to be set aside for a job that lacks n. High
+// work stops others instead; but on the dearest machines all work may be high: each
+// that ends is followed by a gang of one, and one that needs two at once never begins.
+func (j *Job) wantsAside(n int, now time.Time) bool {
+	if j.Rec.Spec.Priority >= High && (n < 2 || j.Rec.Spec.Shape != Gang) {
+		return false
+	}
+	return !j.suspect() && j.starves(now) && now.Sub(j.aside) >= asideAgain
+}
+
 // setAside keeps n machines for a starving job, those that are soonest free
-// enough; it tells whether it did. High work stops others instead. It looks at every machine, but once a minute
+// enough; it tells whether it did. It looks at every machine, but once a minute
 // for a job that starves.
 func (b *Book) setAside(j *Job, ask *placement.Ask, n int, now time.Time) bool {
-	if j.Rec.Spec.Priority >= High || j.suspect() || !j.starves(now) || now.Sub(j.aside) < asideAgain {
+	if !j.wantsAside(n, now) {
 		return false
 	}
 	j.aside = now
@@ -88,8 +98,12 @@
 	if len(cs) < n {
 		return false
 	}
+	until := now.Add(asideFor)
+	if j.Rec.Spec.Priority >= High {
+		until = now.Add(2 * asideFor) // what runs there runs long
+	}
 	for _, c := range cs[:n] {
-		b.reserved[c.h.name] = reservation{job: j.Rec.Spec.ID, need: ask.Need, made: now, until: now.Add(asideFor), aside: true}
+		b.reserved[c.h.name] = reservation{job: j.Rec.Spec.ID, need: ask.Need, made: now, until: until, aside: true}
 	}
 	b.note(j, "%d machines set aside for it, %s the first", n, cs[0].h.name)
 	return true
--- a/internal/claim/fairness_test.go
+++ b/internal/claim/fairness_test.go
@@ -163,3 +163,47 @@
 		}
 	})
 }
+
+func TestAGangOfTwoBeginsBesideAStreamOfGangsOfOne(t *testing.T) {
+	// Found on a day of the ops deployments: gangs that need two large machines of one
+	// zone at once waited for up to six minutes, since each that became free was
+	// taken by a gang of one, just as high.
+	synctest.Test(t, func(t *testing.T) {
+		b := fleet(t, 8) // four in each zone
+		b.set.Params.Teams[1].CPUs = 0
+		gang := func(id ids.Job, tasks int) {
+			r := rec(id, "blue", High, tasks, 4)
+			r.Spec.Shape, r.Spec.OneZone, r.Spec.Estimate = Gang, true, 100
+			b.Learn(id, 1, r, time.Now())
+		}
+		began, submitted := time.Duration(0), time.Now()
+		left := map[*Place]time.Duration{}
+		for sec := range 400 {
+			if sec%9 == 0 { // more than fits, all the time
+				gang(ids.Job(fmt.Sprintf("job-%d", 100+sec)), 1)
+			}
+			if sec == 60 {
+				gang("job-2", 2)
+				submitted = time.Now()
+			}
+			b.Plan(time.Now())
+			b.store()
+			b.play(ids.Tick(sec+2), func(p *Place) string {
+				if _, ok := left[p]; !ok {
+					left[p] = time.Duration(70+p.Job.Rec.Submitted.Time().Second()) * time.Second // 70 to 130 s
+				}
+				if left[p] -= time.Second; left[p] <= 0 {
+					return worker.CauseDone
+				}
+				return ""
+			})
+			if j := b.jobs["job-2"]; began == 0 && j != nil && len(j.places) == 2 {
+				began = time.Since(submitted)
+			}
+			time.Sleep(time.Second)
+		}
+		if began == 0 || began > 3*time.Minute {
+			t.Errorf("it began after %v", began)
+		}
+	})
+}
--- a/internal/claim/mistakes_test.go
+++ b/internal/claim/mistakes_test.go
@@ -19,6 +19,9 @@
 	on := map[ids.Machine][]worker.Piece{}
 	for _, j := range b.jobs {
 		for _, p := range j.places {
+			if !p.sent {
+				continue // nobody has told its machine yet
+			}
 			pc := worker.Piece{Task: p.Task().String(), Attempt: p.Attempt, Status: worker.Running}
 			if how := ends(p); how != "" && p.seen {
 				pc.Status, pc.Cause = worker.Ended, how
