Owners give way only to overdue workers again; stories of lonely owners and swarms

Changed: a worker counts as missing the owner only if overdue, and not heard since it was sent on, with a second for the word's way.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -592,25 +592,26 @@
 func (b *Book) cutOff(stranded []Strand, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	// Whoever was sent here by another node is here within a moment; what is
-	// heard of the others in that time shows that the way is good. Reports may be
-	// far apart: to wait until they are overdue would take longer for nothing.
+	// Reports may be far apart, and after a takeover all come at once: only one that
+	// is overdue tells anything. To go by less made owners give way wrongly.
+	overdue := b.set.Params.Workers.ReportS.Duration() * 5 / 4
 	silent, heard := 0, 0
 	for _, m := range b.roster.Machines {
-		if m.Heard && m.Silent(now) < strandedFor {
+		if m.Heard && m.Silent(now) < overdue {
 			heard++
 		}
 	}
 	for _, s := range stranded {
-		if m := b.roster.Machines[s.Machine]; m != nil && (!m.Heard || m.Silent(now) > s.Ago) {
+		if m := b.roster.Machines[s.Machine]; m != nil && m.Silent(now) >= overdue && m.Silent(now) > s.Ago+toldWithin {
 			silent++
 		}
 	}
 	return silent >= 2 && silent > heard
 }
 
-// strandedFor is how long a worker sent here from another node may be on its way.
-const strandedFor = 3 * time.Second
+// toldWithin bounds how late a peer's word arrives: a worker sent on is often here
+// within a millisecond, and must not count as missing because the word took longer.
+const toldWithin = time.Second
 
 // deaf tells whether next to no machine is heard or answers.
 func (b *Book) deaf(now time.Time) bool {
--- /dev/null
+++ b/internal/claim/lonely_test.go
@@ -0,0 +1,135 @@
+package claim_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/fake"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+)
+
+func TestAnOwnerWithoutAnyNetworkIsReplacedOnceAndFollows(t *testing.T) {
+	// By reset and by silence, for a minute and a half: what it still believes to own
+	// must not come back with it, nor may the pool go back and forth.
+	for how, fate := range map[string]fake.Fate{"reset": fake.Refuse, "silence": fake.Swallow, "held back": fake.Hold} {
+		story(t, func(t *testing.T, w *world) {
+			w.listed = true
+			w.start("a")
+			w.start("b")
+			w.worker("m1", "north")
+			w.worker("m2", "south")
+			time.Sleep(10 * time.Second)
+			w.submit("a", spec("job-1", "standing", 4))
+			w.until(4*time.Second, "it runs", func() bool { return w.everywhere("job-1", 4) })
+			old := w.owner()
+			other := map[string]string{"a": "b", "b": "a"}[old.name]
+			gen := old.pool.Book().Generation()
+			w.net.SetRule(func(from, to string, _ *http.Request, _ []byte) fake.Fate {
+				if from == old.name || strings.HasPrefix(to, old.name+":") {
+					return fate
+				}
+				return fake.Deliver
+			})
+			w.until(4*time.Second, "a successor", func() bool { return w.nodes[other].pool.Book() != nil })
+			w.until(4*time.Second, "it takes work", func() bool {
+				code, _ := w.call(other, "POST", "/v2/runs", spec("job-2", "array", 2))
+				return code == 201 || code == 200
+			})
+			w.until(20*time.Second, "new work runs", func() bool { return w.everywhere("job-2", 2) })
+			w.hold(70*time.Second, "all goes on", func() bool { return w.everywhere("job-1", 4) && w.everywhere("job-2", 2) })
+			w.net.SetRule(nil)
+			w.net.Release()
+			w.until(3*time.Second, "the old owner follows", func() bool { return old.pool.Book() == nil })
+			w.hold(25*time.Second, "one change of owner, and all goes on", func() bool {
+				b := w.nodes[other].pool.Book()
+				return b != nil && b.Generation() <= gen+2 && w.everywhere("job-1", 4) && w.everywhere("job-2", 2)
+			})
+			w.once("job-1/0", "job-1/1", "job-1/2", "job-1/3", "job-2/0", "job-2/1")
+			if s := w.status(old.name, "job-2"); s != "running" {
+				t.Errorf("%s: the old owner calls a running job %q", how, s)
+			}
+		})
+	}
+}
+
+func TestASwarmOfSmallJobsStaysWithinTheLimits(t *testing.T) {
+	// Guards against a guest's hundreds of one-task jobs within a minute: each costs a
+	// creation, a claim and an end, and all together must stay below the changes that
+	// the state service takes, a transaction below its own, and none be lost.
+	story(t, func(t *testing.T, w *world) {
+		const perSecond, perTxn, jobs = 200, 12, 400
+		changes := map[int64]int{}
+		w.net.SetRule(func(_, to string, r *http.Request, body []byte) fake.Fate {
+			if r.URL.Path == "/commit" {
+				var txn struct{ Then []json.RawMessage }
+				json.Unmarshal(body, &txn)
+				w.mu.Lock()
+				changes[time.Now().Unix()] += len(txn.Then)
+				w.mu.Unlock()
+				if len(txn.Then) > perTxn {
+					t.Errorf("%d changes in one transaction", len(txn.Then))
+				}
+			}
+			return fake.Deliver
+		})
+		w.start("a")
+		w.start("b")
+		m1, m2 := w.worker("m1", "north"), w.worker("m2", "south")
+		time.Sleep(10 * time.Second)
+		w.until(100*time.Second, "all are accepted", func() bool {
+			n := 0
+			for i := range jobs {
+				s := spec(fmt.Sprintf("job-%d", i+1), "array", 1)
+				s["cores"], s["ramGb"], s["guessS"] = 0.1, 0.1, 2
+				code, _ := w.call([]string{"a", "b"}[i%2], "POST", "/v2/runs", s)
+				switch code {
+				case 200, 201:
+					n++
+				case 503:
+				default:
+					t.Fatalf("a submission got %d", code)
+				}
+				time.Sleep(2 * time.Millisecond)
+				if i%20 == 0 {
+					for _, k := range []*fake.Worker{m1, m2} {
+						for _, task := range k.Live() {
+							k.End(task, "done")
+						}
+					}
+				}
+			}
+			return n == jobs
+		})
+		over := func() (n int) {
+			for _, k := range []*fake.Worker{m1, m2} {
+				for _, task := range k.Live() {
+					k.End(task, "done")
+				}
+			}
+			for i := range jobs {
+				if w.store.Value("end/job-"+fmt.Sprint(i+1)) != nil {
+					n++
+				}
+			}
+			return n
+		}
+		w.until(60*time.Second, "all are done", func() bool { return over() == jobs })
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for sec, n := range changes {
+			if n > 2*perSecond || n+changes[sec+1]+changes[sec+2] > 4*perSecond {
+				t.Errorf("%d changes in a second", n)
+			}
+		}
+		for i := range jobs {
+			task := ids.Task{Job: ids.Job(fmt.Sprintf("job-%d", i+1))}.String()
+			if n := m1.Started(task) + m2.Started(task); n != 1 {
+				t.Fatalf("%s was started %d times", task, n)
+			}
+		}
+	})
+}
