The gap: leases and starts bounded by the last complete read, not by renewals alone

Only news move the copy now, or a read. - A leader whose renewals succeed but whose reads fail renewed leases for ever. It answers beats while both began less than the grace ago. - A start marked or sent before the store was lost could go out up to the grace later. Starts need both within two lives of the hold. - A direct start held back, its job cancelled and the token not to be raised: the session was renewed over it. It lapses now. Also, from reading: a start that found no connection while its task was asked to stop stayed placed for ever; a beat overtaken by a command's answer was answered without its stops; a gang's end was settled by a report of any age after a takeover, though a gang's task may have been started again under its attempt on the same machine. By which evidence a task was taken as gone is logged.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -164,6 +164,10 @@
 	// does not, nothing that is stopped could be started again, so nothing is
 	// stopped that could go on.
 	Storing func() bool
+	// Starting tells whether starts may go out: not once another node may have
+	// confirmed, unknown to this one, that a job is cancelled. It is asked outside
+	// the book's lock.
+	Starting func() bool
 
 	wakeCommit, wakePlan chan struct{}
 }
@@ -190,6 +194,7 @@
 		dark:         map[string]bool{},
 		boots:        map[string]*boots{},
 		Storing:      func() bool { return true },
+		Starting:     func() bool { return true },
 		wakeCommit:   make(chan struct{}, 1), wakePlan: make(chan struct{}, 1),
 	}
 }
--- a/internal/claim/dispatch.go
+++ b/internal/claim/dispatch.go
@@ -33,6 +33,7 @@
 // unanswered none at all: hundreds of silent machines must not keep living ones
 // waiting. Its next beat, or its answer to a question, gets what it is owed.
 func (b *Book) batches(free int) []batch {
+	starting := b.Starting()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.lost {
@@ -71,6 +72,8 @@
 			case p.stopping && p.seen && p.stopSent.Before(p.stopAt):
 				p.stopSent = now
 				ba.orders = append(ba.orders, worker.Stop(p.Task().String(), p.Attempt, p.leeway))
+			case !p.stopping && !p.sent && !starting:
+				b.due[h] = true // looked at again soon
 			case !p.stopping && !p.sent && p.Job.saved >= p.version && !b.mayStart(p, m):
 			case !p.stopping && !p.sent && p.Job.saved >= p.version && p.Token == b.gen:
 				p.sent = true
@@ -115,6 +118,12 @@
 		for p := range b.placesOn(ba.machine) {
 			if p.sent && !p.seen && !p.offered && p.Session == ba.session && p.Token == ba.token && ba.starts(p.Task().String(), p.Attempt) {
 				p.sent = false
+				if p.stopping {
+					// Asked to be stopped meanwhile: there is nothing to stop.
+					b.dropPlace(p)
+					b.touch(p.Job)
+					b.finishIfOver(p.Job)
+				}
 			}
 		}
 	}
--- a/internal/claim/pool.go
+++ b/internal/claim/pool.go
@@ -65,6 +65,7 @@
 	jobs        *state.Mirror
 	still       standstill
 	known       func() (ids.Node, bool) // who owns the pool
+	readAt      func() time.Time        // of when the copy of the records is
 
 	mu      sync.Mutex
 	term    *Term
@@ -88,6 +89,7 @@
 	p.known = p.Owner
 	p.mirror = state.NewMirror(c, PoolPrefix, 100*time.Millisecond)
 	p.jobs = state.NewMirror(c, JobPrefix, 400*time.Millisecond)
+	p.readAt = p.jobs.AsOf
 	p.jobs.OnChange = func(ch state.Change) {
 		id := ids.Job(strings.TrimPrefix(ch.Key(), JobPrefix))
 		if ch.Put == "" {
@@ -119,6 +121,7 @@
 		if t := p.Term(); t != nil {
 			// A renewal that hangs must not delay the next.
 			go p.keep(ctx, t)
+			go p.jobs.Sync(ctx)
 			wait(ctx, life/5)
 			continue
 		}
@@ -271,6 +274,7 @@
 	t.Committer = NewCommitter(b, p.State, p.Set.HostName, stamp)
 	t.Dispatcher = NewDispatcher(b, p.Commander, p.Set.Sockets().Direct/4)
 	t.Dispatcher.May = func() bool { return p.proven(t) }
+	b.Starting = func() bool { return p.mayStart(t) }
 	t.Committer.OnLost = func(why string) { go p.stepDown(t, why) }
 	t.Committer.OnStored = t.Dispatcher.Wake
 	p.State.Budget().SetOwner(true)
@@ -602,15 +606,31 @@
 // ErrNotOwner tells that this node does not own the pool.
 var ErrNotOwner = errors.New("not the pool's owner")
 
-// entitled tells whether this node may still answer beats: a successor trusts
-// that it stops a fixed time after its last good renewal.
+// entitled tells whether this node may still answer beats. A successor trusts that
+// it stops a fixed time after its last good renewal, and users that what they
+// cancelled is gone in time: what this node has not read of, it may keep alive for
+// so long after its last complete read only.
 func (p *Pool) entitled(t *Term) bool {
+	return p.within(t, p.Set.Grace().Duration())
+}
+
+// mayStart tells whether this node may still start tasks: a job may have been
+// cancelled, by a node that can't reach this one, since its records were last read.
+// Two lives of the hold allow for slow answers.
+func (p *Pool) mayStart(t *Term) bool {
+	return p.within(t, 2*time.Duration(p.Set.Own.PoolHoldMs)*time.Millisecond)
+}
+
+// within tells whether the last good renewal and the last complete read of the
+// records both began less than d ago.
+func (p *Pool) within(t *Term, d time.Duration) bool {
 	if !p.proven(t) {
 		return false
 	}
+	read := p.readAt()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.term == t && time.Since(t.renewed) < p.Set.Grace().Duration()
+	return p.term == t && time.Since(t.renewed) < d && time.Since(read) < d
 }
 
 // Sure tells whether no other node can own the pool: its hold, counted from when
@@ -649,6 +669,9 @@
 		p.stepDown(t, "a worker has seen a higher token")
 		return nil, 503, worker.Redirect{}
 	}
+	if t.Book.mustLapse(rep, p.Set.Grace().Duration()) {
+		return nil, 503, worker.Redirect{}
+	}
 	orders := t.Book.Observe(rep, true, true)
 	if orders == nil {
 		orders = []worker.Order{}
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -14,6 +14,7 @@
 // should get. answered tells that the worker gets a 200 for this report; beat
 // tells a beat from the answer to direct commands.
 func (b *Book) Observe(rep *worker.Report, answered, beat bool) []worker.Order {
+	starting := b.Starting()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
@@ -34,6 +35,12 @@
 	booting := m.Booting
 	v := b.roster.Note(m, rep, now, answered, b.gen)
 	if !v.Fresh {
+		// A command's answer may overtake a beat that was sent before it. The
+		// beat's answer renews the lease all the same, so it must not come
+		// without the stops.
+		if rep.Session == m.Session {
+			return b.ordersFor(m, beat, false, now)
+		}
 		return nil
 	}
 	if booting && firstHeard {
@@ -90,6 +97,9 @@
 		listed[k] = true
 		j := b.jobs[t.Job]
 		if j != nil {
+			if b.ambiguous(j, rep) {
+				continue
+			}
 			// What is listed before a start went out is left from an earlier start
 			// of the same attempt there, whose outcome is known.
 			if p := j.places[t.Index]; p != nil && p.Machine == m.Name && p.Attempt == pc.Attempt && p.sent {
@@ -125,7 +135,7 @@
 			break
 		}
 	}
-	orders = append(orders, b.ordersFor(m, beat, now)...)
+	orders = append(orders, b.ordersFor(m, beat, starting, now)...)
 	// One line of an answer must stay below 64 KiB; the rest follows with the
 	// next report.
 	return orders[:min(len(orders), maxOrders)]
@@ -133,10 +143,18 @@
 
 const maxOrders = 400
 
+// ambiguous tells whether a report may be from before what the record tells of a
+// gang. Until a worker shows this owner's token its report may be of any age, and of
+// a gang the same task may have been started again, under the same attempt, on the
+// machine where it had ended. Of other jobs every start has a number of its own.
+func (b *Book) ambiguous(j *Job, rep *worker.Report) bool {
+	return j.Rec.Spec.Shape == Gang && rep.Token < b.first
+}
+
 // ordersFor repeats, in a beat's answer, what the machine still has to do.
 // Every command may be repeated; a start is named by task and attempt, so it
 // takes effect once.
-func (b *Book) ordersFor(m *worker.Machine, beat bool, now time.Time) []worker.Order {
+func (b *Book) ordersFor(m *worker.Machine, beat, starting bool, now time.Time) []worker.Order {
 	if !beat {
 		return nil
 	}
@@ -149,6 +167,7 @@
 			if p.seen && p.status != worker.Ended {
 				orders = append(orders, worker.Stop(p.Task().String(), p.Attempt, p.leewayNow(now)))
 			}
+		case !starting:
 		case !p.seen && p.Token == b.gen && j.saved >= p.version && !m.Deleting && (p.sent || b.mayStart(p, m)):
 			p.sent, p.offered, p.beatOffer = true, true, m.Tick
 			orders = append(orders, worker.Start(p.Task(), p.Attempt))
@@ -157,6 +176,26 @@
 	return orders
 }
 
+// mustLapse tells whether a worker's lease must not be renewed: a direct start may
+// still be on its way to it, of a task whose job was cancelled so long ago that the
+// task could be there beyond cancel_s. A raised token turns the start away sooner,
+// but to raise it takes the state service.
+func (b *Book) mustLapse(rep *worker.Report, grace time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := b.roster.Machines[rep.Machine]
+	if m == nil || rep.Session != m.Session || len(m.Lates) == 0 {
+		return false
+	}
+	for p := range b.placesOn(m.Name) {
+		if p.stopping && !p.seen && p.Job.cancelled() && p.Session == rep.Session && b.current(p) &&
+			time.Since(p.stopAt) > grace && m.MayRevive(p.Task().String(), p.Attempt) {
+			return true
+		}
+	}
+	return false
+}
+
 // leewayNow is what is left of a stop's leeway; a second stop with 0 ends a
 // task that saves for too long.
 func (p *Place) leewayNow(now time.Time) ids.Seconds {
@@ -294,6 +333,11 @@
 // vanish requeues a task proven not to be on its machine any more.
 func (b *Book) vanish(p *Place, why string) {
 	j := p.Job
+	if m := b.roster.Machines[p.Machine]; m != nil {
+		// By what evidence, should it turn out to be wrong.
+		slog.Info("task gone", "task", p.Task(), "machine", p.Machine, "why", why, "attempt", p.Attempt, "token", p.Token, "session", p.Session,
+			"seen", p.seen, "heard", m.Heard, "reportToken", m.Token, "reportSession", m.Session, "reportTick", m.Tick)
+	}
 	if !j.ended {
 		b.noteGone(p, why)
 	}
--- a/internal/claim/standstill_test.go
+++ b/internal/claim/standstill_test.go
@@ -18,6 +18,7 @@
 		set := testSet()
 		p := NewPool(set, nil, nil, "a.1")
 		p.still.onWake = p.woke
+		p.readAt = time.Now // the records are read all the while: only the standstill counts here
 		b := fleet(t, 12)
 		term := &Term{Gen: 7, Book: b, renewed: time.Now(), loaded: make(chan struct{}), cancel: func() {}}
 		close(term.loaded)
--- a/internal/state/mirror.go
+++ b/internal/state/mirror.go
@@ -30,6 +30,8 @@
 	next    *round // the round that whoever asks now has to wait for
 	turning bool
 	turned  time.Time // when the last round began
+	asOf    time.Time // when the last round that succeeded began
+	life    context.Context
 }
 
 // round is one call that brings the copy up to date for all who waited.
@@ -41,7 +43,7 @@
 // NewMirror makes a mirror; pause spaces its calls, so that a busy prefix does
 // not eat the budget.
 func NewMirror(c *Client, prefix string, pause time.Duration) *Mirror {
-	return &Mirror{c: c, prefix: prefix, pause: pause, entries: map[string]Entry{}}
+	return &Mirror{c: c, prefix: prefix, pause: pause, entries: map[string]Entry{}, life: context.Background()}
 }
 
 // syncEvery spaces the rounds: hundreds of polls a second cost a few calls.
@@ -70,7 +72,7 @@
 	}
 }
 
-// turn does rounds while anybody waits. It has a context of its own: a round
+// turn does rounds while anybody waits. Its context is the copy's own: a round
 // serves many, and must not end with the one who asked first.
 func (m *Mirror) turn() {
 	for {
@@ -80,16 +82,22 @@
 			m.mu.Unlock()
 			return
 		}
-		pace := syncEvery - time.Since(m.turned)
+		pace, life := syncEvery-time.Since(m.turned), m.life
 		m.mu.Unlock()
-		time.Sleep(pace)
+		sleep(life, pace)
 		m.mu.Lock()
 		r := m.next
 		m.next, m.turned = nil, time.Now()
 		m.mu.Unlock()
-		ctx, cancel := context.WithTimeout(context.Background(), 2*CallTimeout)
+		ctx, cancel := context.WithTimeout(life, 2*CallTimeout)
+		began := time.Now()
 		r.err = m.catchUp(ctx)
 		cancel()
+		if r.err == nil {
+			m.mu.Lock()
+			m.asOf = began
+			m.mu.Unlock()
+		}
 		close(r.done)
 	}
 }
@@ -121,6 +129,15 @@
 	return nil
 }
 
+// AsOf is the latest time of which the copy surely has everything: when the last
+// round that succeeded began. A watch does not move it, since one may end well
+// while the store serves nobody, or everybody but this node.
+func (m *Mirror) AsOf() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.asOf
+}
+
 // All lists the copy in order.
 func (m *Mirror) All() ([]Entry, ids.Epoch) {
 	m.mu.Lock()
@@ -143,6 +160,9 @@
 
 // Run keeps the copy until the context ends.
 func (m *Mirror) Run(ctx context.Context) {
+	m.mu.Lock()
+	m.life = ctx
+	m.mu.Unlock()
 	for ctx.Err() == nil {
 		if !m.isReady() {
 			if err := m.list(ctx); err != nil {
@@ -165,11 +185,24 @@
 			sleep(ctx, 300*time.Millisecond)
 			continue
 		}
-		m.apply(epoch, news)
+		// Without news it says nothing: a watch that waits out an outage, or this
+		// node's being refused, may end well with an epoch whose changes it never
+		// showed. To take that for read would lose them for good.
+		if epoch = newest(news); epoch > 0 {
+			m.apply(epoch, news)
+		}
 		sleep(ctx, m.pause)
 	}
 }
 
+// newest is the epoch of the last change; 0 if there is none.
+func newest(news []Change) (at ids.Epoch) {
+	for _, n := range news {
+		at = max(at, ids.Epoch(n.Stamp))
+	}
+	return at
+}
+
 func (m *Mirror) isReady() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
