--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -97,7 +97,7 @@
 		listed[k] = true
 		j := b.jobs[t.Job]
 		if j != nil {
-			if b.ambiguous(j, rep) {
+			if b.ambiguous(j, rep, pc) {
 				continue
 			}
 			// What is listed before a start went out is left from an earlier start
@@ -146,9 +146,10 @@
 // ambiguous tells whether a report may be from before what the record tells of a
 // gang. Until a worker shows this owner's token its report may be of any age, and of
 // a gang the same task may have been started again, under the same attempt, on the
-// machine where it had ended. Of other jobs every start has a number of its own.
-func (b *Book) ambiguous(j *Job, rep *worker.Report) bool {
-	return j.Rec.Spec.Shape == Gang && rep.Token < b.first
+// machine where it had ended. Of other jobs every start has a number of its own; and
+// what is done is done.
+func (b *Book) ambiguous(j *Job, rep *worker.Report, pc *worker.Piece) bool {
+	return j.Rec.Spec.Shape == Gang && rep.Token < b.first && !(pc.Status == worker.Ended && pc.Cause == worker.CauseDone)
 }
 
 // ordersFor repeats, in a beat's answer, what the machine still has to do.
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -148,6 +148,8 @@
 	Zone  string   `json:"yard"`
 	Spot  bool     `json:"loaners"`
 	Count int      `json:"count"`
+
+	tried bool // its name may be stored
 }
 
 // Hire rents; the same name may be sent again and rents nothing twice.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -22,12 +22,17 @@
 type shelf struct {
 	names map[string]bool
 	down  bool
+	lose  int // so many writes get no answer and are not carried out
 }
 
 func (s *shelf) Apply(_ context.Context, ops []state.Op) error {
 	if s.down {
 		return state.ErrRefused
 	}
+	if s.lose > 0 {
+		s.lose--
+		return state.ErrUnknown
+	}
 	for _, op := range ops {
 		if op.Put != "" {
 			s.names[strings.TrimPrefix(op.Put, claim.HirePrefix)] = true
@@ -87,6 +92,11 @@
 			t.Fatal("hired although the name could not be stored")
 		}
 		s.down = false
+		s.lose = 2 // an answer that never comes is no answer either
+		k.Step(ctx)
+		if len(c.Hires()) != 0 {
+			t.Fatal("hired although nothing says that the name is stored")
+		}
 		for range 6 {
 			k.Step(ctx)
 			time.Sleep(time.Second)
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -41,6 +41,7 @@
 	// OnTypes is told the cloud's offer whenever it was read.
 	OnTypes func([]placement.Type)
 
+	unsure  []Intent // perhaps stored: not to be sent until they surely are
 	open    []Intent // stored, not answered for sure yet
 	refused map[offer]time.Time
 	listed  time.Time
@@ -95,6 +96,11 @@
 			k.listed = now
 		}
 	}
+	unsure := k.unsure
+	k.unsure = nil
+	for _, in := range unsure {
+		k.keep(ctx, in)
+	}
 	for _, in := range append([]Intent(nil), k.open...) {
 		k.send(ctx, in)
 	}
@@ -111,7 +117,7 @@
 		return !dark[zone] && !k.refused[offer{label, zone, spot}].After(now)
 	})
 	k.returns(ctx, needed)
-	if len(k.open) > 0 || k.listed.IsZero() {
+	if len(k.unsure) > 0 || len(k.open) > 0 || k.listed.IsZero() {
 		return // what they rent is not known yet
 	}
 	if len(hires) > 0 && k.Book.Empty("", time.Now()) {
@@ -170,19 +176,30 @@
 func (k *Keeper) hire(ctx context.Context, h placement.Hire) {
 	k.seq++
 	in := Intent{Name: ids.Hire(fmt.Sprintf("h-%d-%d", k.Gen, k.seq)), Type: h.Type, Zone: h.Zone, Spot: h.Spot, Count: min(h.Count, 50)}
+	if k.keep(ctx, in) {
+		k.send(ctx, in)
+	}
+}
+
+// keep stores an intent, and tells whether it surely is. One whose answer was lost
+// may be stored yet, after all that this owner writes now; so it is stored again
+// rather than forgotten.
+func (k *Keeper) keep(ctx context.Context, in Intent) bool {
 	raw, err := json.Marshal(in)
 	if err != nil {
-		return
+		return false
 	}
 	if err := k.Store.Apply(ctx, []state.Op{{Put: claim.HirePrefix + string(in.Name), Value: raw}}); err != nil {
 		slog.Debug("hire not stored", "hire", in.Name, "err", err)
-		if errors.Is(err, state.ErrUnknown) {
-			k.open = append(k.open, in) // perhaps stored: send it, then remove it
+		var conflict *state.Conflict
+		if !errors.As(err, &conflict) && (errors.Is(err, state.ErrUnknown) || in.tried) {
+			in.tried = true
+			k.unsure = append(k.unsure, in)
 		}
-		return
+		return false
 	}
 	k.open = append(k.open, in)
-	k.send(ctx, in)
+	return true
 }
 
 func (k *Keeper) send(ctx context.Context, in Intent) {
--- a/internal/state/mirror.go
+++ b/internal/state/mirror.go
@@ -125,7 +125,9 @@
 	case epoch < now:
 		return fmt.Errorf("%w: news only up to %d of %d", ErrRefused, epoch, now)
 	}
-	m.apply(epoch, news)
+	// Its news are of after the plain read, so they reach that far at least; how
+	// far beyond, only they themselves show.
+	m.apply(max(now, newest(news)), news)
 	return nil
 }
 
