Rules checker over all stories; fake workers closer to the protocol; knobs for troubles

Every start and end on the fake workers and every answer to users is checked by event, so that a story fails on any broken rule. A test breaks each rule once. Fake workers report changes at once, keep results of completed tasks, refuse a task that is there under another attempt, hang and go on; the network delivers late and has rules for mute and deaf workers and copied reports; the store refuses one caller alone or is slow.

--- /dev/null
+++ b/internal/claim/rules_test.go
@@ -0,0 +1,479 @@
+package claim_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/config"
+	"github.com/pebbletrail/pebbletrail/internal/fake"
+)
+
+// rules watches the workers and every answer to users for the protocol's rules
+// (PROTOCOL, "Rules"). An answer is older than another only if its request was
+// sent after the other had arrived.
+type rules struct {
+	say  func(rule, what string)
+	set  *config.Settings
+	mu   sync.Mutex
+	jobs map[string]*watched
+	live map[string][]fake.Event // starts of what is on machines now, by task
+	said map[string]bool
+	// polls are those of the last 90 s, for jobs about which nobody answers.
+	polls []poll
+}
+
+type poll struct {
+	at   time.Time
+	job  string
+	good bool
+}
+
+// wants is what a submission says of where its tasks may be.
+type wants struct {
+	UID      string   `json:"uid"`
+	Team     string   `json:"owner"`
+	Shape    string   `json:"shape"`
+	Tasks    int      `json:"pieces"`
+	Cores    float64  `json:"cores"`
+	Accels   float64  `json:"accelerators"`
+	Types    []string `json:"builds"`
+	Zone     string   `json:"yard"`
+	Together bool     `json:"together"`
+	Spread   bool     `json:"spread"`
+	Spot     bool     `json:"loaners"`
+}
+
+// watched is what is known of a job: the zero time is never.
+type watched struct {
+	wants
+	offered   bool // some submission of it was sent that was not refused for good
+	accepted  time.Time
+	done      time.Time
+	cancelled time.Time
+	asked     time.Time // when its user first asked to cancel
+	completed map[int]bool
+	failing   time.Time // since when no poll for it succeeded
+}
+
+func newRules(set *config.Settings, say func(rule, what string)) *rules {
+	return &rules{say: say, set: set, jobs: map[string]*watched{}, live: map[string][]fake.Event{}, said: map[string]bool{}}
+}
+
+func (r *rules) broken(rule, job, format string, args ...any) {
+	if k := rule + " " + job; !r.said[k] {
+		r.said[k] = true
+		r.say(rule, fmt.Sprintf(format, args...))
+	}
+}
+
+func (r *rules) job(id string) *watched {
+	j := r.jobs[id]
+	if j == nil {
+		j = &watched{completed: map[int]bool{}}
+		r.jobs[id] = j
+	}
+	return j
+}
+
+func after(t, since time.Time) bool { return !since.IsZero() && t.After(since) }
+
+func first(t *time.Time, now time.Time) {
+	if t.IsZero() {
+		*t = now
+	}
+}
+
+func (r *rules) cancelIn() time.Duration {
+	return time.Duration(float64(r.set.Params.Workers.CancelS) * float64(time.Second))
+}
+
+// Event takes what a worker did to a task.
+func (r *rules) Event(e fake.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id, n, _ := strings.Cut(e.Task, "/")
+	num, _ := strconv.Atoi(n)
+	j := r.job(id)
+	if !e.Start {
+		var left []fake.Event
+		for _, s := range r.live[e.Task] {
+			if s.Worker != e.Worker || s.Attempt != e.Attempt {
+				left = append(left, s)
+			}
+		}
+		r.live[e.Task] = left
+		if e.Cause == "done" {
+			j.completed[num] = true
+		}
+		if after(e.At, j.cancelled) && e.At.Sub(j.cancelled) > r.cancelIn() && e.Cause != "busy" {
+			r.broken("ran_cancelled", id, "%s was on %s until %v after its user was told", e.Task, e.Worker.Name, e.At.Sub(j.cancelled))
+		}
+		return
+	}
+	k := e.Worker
+	for _, s := range r.live[e.Task] {
+		r.broken("ran_twice", e.Task, "%s starts on %s (attempt %d) while it is on %s (attempt %d)", e.Task, k.Name, e.Attempt, s.Worker.Name, s.Attempt)
+	}
+	r.live[e.Task] = append(r.live[e.Task], e)
+	if !j.offered {
+		r.broken("invented", id, "%s starts, but nobody submitted it", e.Task)
+		return
+	}
+	if num >= j.Tasks {
+		r.broken("invented", id, "%s starts; its job has %d tasks", e.Task, j.Tasks)
+	}
+	if after(e.Sent, j.cancelled) {
+		r.broken("ran_cancelled", id, "%s starts on %s by a command sent %v after its user was told", e.Task, k.Name, e.Sent.Sub(j.cancelled))
+	}
+	if after(e.At, j.cancelled) && e.At.Sub(j.cancelled) > r.cancelIn() {
+		r.broken("ran_cancelled", id, "%s starts on %s %v after its user was told", e.Task, k.Name, e.At.Sub(j.cancelled))
+	}
+	r.quota(j.Team)
+	r.place(j, e)
+}
+
+func (r *rules) quota(team string) {
+	var cores, accels float64
+	for _, starts := range r.live {
+		for _, s := range starts {
+			id, _, _ := strings.Cut(s.Task, "/")
+			if o := r.jobs[id]; o.Team == team {
+				cores += o.Cores
+				accels += o.Accels
+			}
+		}
+	}
+	for _, t := range r.set.Params.Teams {
+		if t.Name == team && (t.CPUsMax > 0 && cores > t.CPUsMax || t.GPUsMax > 0 && accels > t.GPUsMax) {
+			r.broken("quota", team, "team %s uses %v cores and %v accelerators", team, cores, accels)
+		}
+	}
+}
+
+func (r *rules) place(j *watched, e fake.Event) {
+	k, allowed := e.Worker, j.Types == nil
+	for _, t := range j.Types {
+		allowed = allowed || t == k.Type
+	}
+	if !allowed {
+		r.broken("wrong_place", j.UID, "%s starts on type %s, its job allows %v", e.Task, k.Type, j.Types)
+	}
+	if j.Zone != "" && j.Zone != k.Zone {
+		r.broken("wrong_place", j.UID, "%s starts in %s, its job allows %s", e.Task, k.Zone, j.Zone)
+	}
+	if k.Spot && !j.Spot {
+		r.broken("wrong_place", j.UID, "%s starts on a spot machine", e.Task)
+	}
+	here := 0
+	for n := range j.Tasks {
+		for _, s := range r.live[fmt.Sprintf("%s/%d", j.UID, n)] {
+			if s.Worker.Zone == k.Zone {
+				here++
+			} else if j.Together {
+				r.broken("wrong_place", j.UID, "%s starts in %s while %s is in %s", e.Task, k.Zone, s.Task, s.Worker.Zone)
+			}
+		}
+	}
+	if j.Spread && here > (j.Tasks+1)/2 {
+		r.broken("wrong_place", j.UID, "%s starts as number %d of %d in %s", e.Task, here, j.Tasks, k.Zone)
+	}
+}
+
+// Sent takes a user's request on its way; it returns the job asked about.
+func (r *rules) Sent(method, path string, body []byte) (id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if path == "/v2/runs" {
+		var w wants
+		if json.Unmarshal(body, &w) != nil || w.UID == "" {
+			return ""
+		}
+		if j := r.job(w.UID); !j.offered {
+			j.wants, j.offered = w, true
+		}
+		return w.UID
+	}
+	id, what, _ := strings.Cut(strings.TrimPrefix(path, "/v2/runs/"), "/")
+	if what == "cancel" && method == "POST" {
+		first(&r.job(id).asked, time.Now())
+	}
+	return id
+}
+
+// Answered takes the answer to a request that was sent at a time; 0 is none.
+func (r *rules) Answered(sent time.Time, node, method, path string, body []byte, code int, out map[string]any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	submission := path == "/v2/runs"
+	id, what, _ := strings.Cut(strings.TrimPrefix(path, "/v2/runs/"), "/")
+	if submission {
+		var w wants
+		if json.Unmarshal(body, &w) != nil || w.UID == "" {
+			if code == 200 || code == 201 {
+				r.broken("invented", "", "%s accepts %s", node, body)
+			}
+			return
+		}
+		id = w.UID
+	} else if what != "" && what != "cancel" {
+		return
+	}
+	j := r.job(id)
+	if method == "GET" {
+		r.polled(j, id, sent, now, code == 200 || code == 404)
+	}
+	status, _ := out["status"].(string)
+	switch {
+	case submission && (code == 400 || code == 422):
+		if after(sent, j.accepted) {
+			r.broken("forgotten", id, "%s answers %d to a repeat of an accepted %s", node, code, id)
+		}
+		if j.accepted.IsZero() {
+			j.offered = false // it may come again, and be another one then
+		}
+		return
+	case code == 404:
+		if after(sent, j.accepted) {
+			r.broken("forgotten", id, "%s answers 404 for an accepted %s", node, id)
+		}
+		return
+	case code != 200 && code != 201:
+		return
+	}
+	if !j.offered {
+		r.broken("invented", id, "%s answers %d %q for %s, which nobody submitted", node, code, status, id)
+		return
+	}
+	if code == 201 && after(sent, j.accepted) {
+		r.broken("went_back", id, "%s accepts a known %s once more", node, id)
+	}
+	if what == "cancel" && status != "cancelled" && status != "done" {
+		r.broken("went_back", id, "%s answers a cancel of %s with %q", node, id, status)
+	}
+	switch status {
+	case "done":
+		for n := range j.Tasks {
+			if !j.completed[n] && !(j.Shape == "gang" && len(j.completed) > 0) {
+				r.broken("not_done", id, "%s calls %s done, but %s/%d has not completed", node, id, id, n)
+			}
+		}
+		if !j.cancelled.IsZero() {
+			r.broken("went_back", id, "%s calls %s done, which was called cancelled", node, id)
+		}
+	case "cancelled":
+		if j.asked.IsZero() {
+			r.broken("went_back", id, "%s calls %s cancelled, which its user did not", node, id)
+		}
+		if !j.done.IsZero() {
+			r.broken("went_back", id, "%s calls %s cancelled, which was called done", node, id)
+		}
+	case "pending", "running":
+		if after(sent, j.done) || after(sent, j.cancelled) {
+			r.broken("went_back", id, "%s calls %s %s, whose end was told %v before it was asked", node, id, status, sent.Sub(maxTime(j.done, j.cancelled)))
+		}
+	default:
+		r.broken("went_back", id, "%s calls %s %q", node, id, status)
+	}
+	first(&j.accepted, now)
+	if status == "done" {
+		first(&j.done, now)
+	}
+	if status == "cancelled" {
+		first(&j.cancelled, now)
+	}
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (r *rules) polled(j *watched, id string, sent, now time.Time, good bool) {
+	for len(r.polls) > 0 && now.Sub(r.polls[0].at) > 90*time.Second {
+		r.polls = r.polls[1:]
+	}
+	r.polls = append(r.polls, poll{now, id, good})
+	if good || j.accepted.IsZero() {
+		j.failing = time.Time{}
+		return
+	}
+	first(&j.failing, sent)
+	if now.Sub(j.failing) < 90*time.Second {
+		return
+	}
+	others, answered := 0, 0
+	for _, p := range r.polls {
+		if p.job != id {
+			others++
+			if p.good {
+				answered++
+			}
+		}
+	}
+	if 2*answered > others {
+		r.broken("forgotten", id, "no poll for %s was answered for %v, most others were", id, now.Sub(j.failing))
+	}
+}
+
+// Overdue looks for cancelled tasks that are still on machines.
+func (r *rules) Overdue() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for task, starts := range r.live {
+		id, _, _ := strings.Cut(task, "/")
+		if j := r.jobs[id]; len(starts) > 0 && !j.cancelled.IsZero() && now.Sub(j.cancelled) > r.cancelIn() {
+			r.broken("ran_cancelled", id, "%s is still on %s %v after its user was told", task, starts[0].Worker.Name, now.Sub(j.cancelled))
+		}
+	}
+}
+
+// step is one thing that the checker sees: an answer or an event.
+type step struct {
+	wait time.Duration
+	// An answer: method, path, body, and what came. With early, the request is
+	// sent before the last one was answered.
+	method, path string
+	body         map[string]any
+	code         int
+	status       string
+	early        bool
+	// Or an event.
+	on          *fake.Worker
+	task        string
+	attempt     uint64
+	start       bool
+	cause       string
+	sentEarlier time.Duration
+	lookAfter   bool
+}
+
+func TestEachRuleCanBeBroken(t *testing.T) {
+	// Guards against a checker that sees nothing: every rule is broken once, by as
+	// little as it takes, and the same without that is clean.
+	small := &fake.Worker{Name: "m1", Type: "small", Zone: "north"}
+	south := &fake.Worker{Name: "m2", Type: "small", Zone: "south"}
+	spot := &fake.Worker{Name: "m3", Type: "small", Zone: "north", Spot: true}
+	large := &fake.Worker{Name: "m4", Type: "large", Zone: "north"}
+	with := func(s map[string]any, more ...any) map[string]any {
+		for i := 0; i < len(more); i += 2 {
+			s[more[i].(string)] = more[i+1]
+		}
+		return s
+	}
+	submit := func(s map[string]any, code int, status string) step {
+		return step{method: "POST", path: "/v2/runs", body: s, code: code, status: status}
+	}
+	get := func(id string, code int, status string) step {
+		return step{method: "GET", path: "/v2/runs/" + id, code: code, status: status}
+	}
+	cancel := func(id string, status string) step {
+		return step{method: "POST", path: "/v2/runs/" + id + "/cancel", code: 200, status: status}
+	}
+	start := func(k *fake.Worker, task string, attempt uint64) step {
+		return step{on: k, task: task, attempt: attempt, start: true}
+	}
+	end := func(k *fake.Worker, task string, attempt uint64, cause string) step {
+		return step{on: k, task: task, attempt: attempt, cause: cause}
+	}
+	later := func(d time.Duration, s step) step { s.wait = d; return s }
+	one := func() map[string]any { return spec("job-1", "array", 1) }
+	two := func() map[string]any { return spec("job-1", "array", 2) }
+	var starving []step
+	for range 20 {
+		starving = append(starving, later(5*time.Second, get("job-1", 503, "")), get("job-2", 200, "pending"), get("job-3", 200, "pending"))
+	}
+	for _, c := range []struct {
+		name, rule string
+		steps      []step
+	}{
+		{"a whole life", "", []step{submit(two(), 201, "pending"), start(small, "job-1/0", 1), start(south, "job-1/1", 1), get("job-1", 200, "running"),
+			end(small, "job-1/0", 1, "killed"), start(south, "job-1/0", 2), end(south, "job-1/0", 2, "done"), end(south, "job-1/1", 1, "done"),
+			get("job-1", 200, "running"), get("job-1", 200, "done"), submit(two(), 200, "done"), cancel("job-1", "done"), get("job-9", 404, "")}},
+		{"a cancel", "", []step{submit(one(), 201, "pending"), start(small, "job-1/0", 1), cancel("job-1", "cancelled"),
+			{wait: time.Second, on: south, task: "job-1/0", attempt: 1, cause: "x"}, {on: small, task: "job-1/0", attempt: 1, cause: "stopped", lookAfter: true},
+			later(time.Minute, get("job-1", 200, "cancelled"))}},
+		{"elsewhere", "ran_twice", []step{submit(one(), 201, "pending"), start(small, "job-1/0", 1), start(south, "job-1/0", 2)}},
+		{"limit", "quota", []step{submit(with(two(), "cores", 5), 201, "pending"), start(small, "job-1/0", 1), start(small, "job-1/1", 1)}},
+		{"type", "wrong_place", []step{submit(with(one(), "builds", []string{"small"}), 201, "pending"), start(large, "job-1/0", 1)}},
+		{"zone", "wrong_place", []step{submit(with(one(), "yard", "north"), 201, "pending"), start(south, "job-1/0", 1)}},
+		{"spot", "wrong_place", []step{submit(one(), 201, "pending"), start(spot, "job-1/0", 1)}},
+		{"together", "wrong_place", []step{submit(with(two(), "together", true), 201, "pending"), start(small, "job-1/0", 1), start(south, "job-1/1", 1)}},
+		{"spread", "wrong_place", []step{submit(with(two(), "spread", true), 201, "pending"), start(small, "job-1/0", 1), start(large, "job-1/1", 1)}},
+		{"still there", "ran_cancelled", []step{submit(one(), 201, "pending"), start(small, "job-1/0", 1), cancel("job-1", "cancelled"), {wait: 41 * time.Second, lookAfter: true}}},
+		{"ends late", "ran_cancelled", []step{submit(one(), 201, "pending"), start(small, "job-1/0", 1), cancel("job-1", "cancelled"), later(41*time.Second, end(small, "job-1/0", 1, "stopped"))}},
+		{"starts late", "ran_cancelled", []step{submit(one(), 201, "pending"), cancel("job-1", "cancelled"),
+			{wait: 41 * time.Second, on: small, task: "job-1/0", attempt: 1, start: true, sentEarlier: 50 * time.Second}}},
+		{"told to start afterwards", "ran_cancelled", []step{submit(one(), 201, "pending"), cancel("job-1", "cancelled"), later(time.Second, start(small, "job-1/0", 1))}},
+		{"gone", "forgotten", []step{submit(one(), 201, "pending"), get("job-1", 404, "")}},
+		{"a cancel finds nothing", "forgotten", []step{submit(one(), 201, "pending"), {method: "POST", path: "/v2/runs/job-1/cancel", code: 404}}},
+		{"repeat 400", "forgotten", []step{submit(one(), 201, "pending"), submit(one(), 400, "")}},
+		{"repeat 422", "forgotten", []step{submit(one(), 201, "pending"), submit(one(), 422, "")}},
+		{"unanswered", "forgotten", append([]step{submit(one(), 201, "pending"), submit(spec("job-2", "array", 1), 201, "pending"), submit(spec("job-3", "array", 1), 201, "pending")}, starving...)},
+		{"a poll", "invented", []step{get("job-1", 200, "pending")}},
+		{"a cancelled nothing", "invented", []step{cancel("job-1", "cancelled")}},
+		{"a start", "invented", []step{start(small, "job-1/0", 1)}},
+		{"a task too many", "invented", []step{submit(one(), 201, "pending"), start(small, "job-1/1", 1)}},
+		{"half done", "not_done", []step{submit(two(), 201, "pending"), start(small, "job-1/0", 1), end(small, "job-1/0", 1, "done"), get("job-1", 200, "done")}},
+		{"stopped is not done", "not_done", []step{submit(one(), 201, "pending"), start(small, "job-1/0", 1), end(small, "job-1/0", 1, "stopped"), get("job-1", 200, "done")}},
+		{"done, then running", "went_back", []step{submit(one(), 201, "pending"), start(small, "job-1/0", 1), end(small, "job-1/0", 1, "done"), get("job-1", 200, "done"), get("job-1", 200, "running")}},
+		{"cancelled, then pending", "went_back", []step{submit(one(), 201, "pending"), cancel("job-1", "cancelled"), submit(one(), 200, "pending")}},
+		{"cancelled, then done", "went_back", []step{submit(one(), 201, "pending"), start(small, "job-1/0", 1), cancel("job-1", "cancelled"), end(small, "job-1/0", 1, "done"), get("job-1", 200, "done")}},
+		{"done, then cancelled", "went_back", []step{submit(one(), 201, "pending"), start(small, "job-1/0", 1), end(small, "job-1/0", 1, "done"), get("job-1", 200, "done"), cancel("job-1", "cancelled")}},
+		{"cancelled by nobody", "went_back", []step{submit(one(), 201, "pending"), get("job-1", 200, "cancelled")}},
+		{"accepted twice", "went_back", []step{submit(one(), 201, "pending"), submit(one(), 201, "pending")}},
+		{"a cancel that is none", "went_back", []step{submit(one(), 201, "pending"), cancel("job-1", "running")}},
+		{"asked before", "", []step{submit(one(), 201, "pending"), cancel("job-1", "cancelled"),
+			{method: "GET", path: "/v2/runs/job-1", code: 200, status: "running", early: true}}},
+	} {
+		story(t, func(t *testing.T, w *world) {
+			got := map[string]bool{}
+			r := newRules(w.settings("a"), func(rule, what string) { got[rule] = true })
+			for _, s := range c.steps {
+				sent := time.Now()
+				time.Sleep(s.wait + time.Millisecond)
+				switch {
+				case s.on != nil:
+					r.Event(fake.Event{At: time.Now(), Sent: time.Now().Add(-s.sentEarlier), Worker: s.on, Session: 1, Task: s.task, Attempt: s.attempt, Start: s.start, Cause: s.cause})
+				case s.path != "":
+					raw, _ := json.Marshal(s.body)
+					if !s.early {
+						sent = time.Now()
+						time.Sleep(time.Millisecond)
+					} else {
+						sent = sent.Add(-3 * time.Millisecond)
+					}
+					r.Sent(s.method, s.path, raw)
+					out := map[string]any{}
+					if s.status != "" {
+						out["status"] = s.status
+					}
+					r.Answered(sent, "a", s.method, s.path, raw, s.code, out)
+				}
+				if s.lookAfter {
+					r.Overdue()
+				}
+			}
+			if c.rule == "" && len(got) > 0 || c.rule != "" && (len(got) != 1 || !got[c.rule]) {
+				t.Errorf("%s: broken are %v, not %q", c.name, got, c.rule)
+			}
+		})
+	}
+}
+
+// observe has the rules watch a user's call.
+func (w *world) observe(node, method, path string, body []byte, call func() (int, map[string]any)) (int, map[string]any) {
+	w.rules.Sent(method, path, body)
+	sent := time.Now()
+	code, out := call()
+	w.rules.Answered(sent, node, method, path, body, code, out)
+	return code, out
+}
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -75,6 +75,7 @@
 	nodes   map[string]*node
 	workers []*fake.Worker
 	lives   int
+	rules   *rules
 	listed  bool // the owner is told the machines by the cloud's list
 }
 
@@ -94,18 +95,25 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		w := &world{t: t, ctx: ctx, net: fake.NewNet(), store: fake.NewStore(), nodes: map[string]*node{}}
 		w.net.Listen("state:1", w.store)
+		w.rules = newRules(w.settings("a"), func(rule, what string) { t.Errorf("rule broken: %s: %s", rule, what) })
 		defer synctest.Wait()
 		defer cancel()
+		defer w.rules.Overdue()
 		f(t, w)
 	})
 }
 
-func (w *world) start(name string) *node {
+func (w *world) settings(name string) *config.Settings {
 	other := map[string]string{"a": "b", "b": "a"}[name]
 	set, err := config.Parse([]byte(strings.NewReplacer("NODE", name, "OTHER", other).Replace(settings)))
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	return set
+}
+
+func (w *world) start(name string) *node {
+	set := w.settings(name)
 	w.lives++
 	writer := fmt.Sprintf("%s.%d", name, w.lives)
 	ctx, cancel := context.WithCancel(w.ctx)
@@ -204,7 +212,8 @@
 
 func (w *world) worker(name, zone string) *fake.Worker {
 	k := &fake.Worker{Name: name, Addr: name + ":9000", Type: "small", Zone: zone, Net: w.net,
-		Nodes: []string{"a:8080", "b:8080"}, Names: []string{"a", "b"}, Report: 2 * time.Second, Lease: 20 * time.Second}
+		Nodes: []string{"a:8080", "b:8080"}, Names: []string{"a", "b"}, Report: 2 * time.Second, Lease: 20 * time.Second,
+		Watch: w.rules.Event}
 	w.workers = append(w.workers, k)
 	go k.Run(w.ctx)
 	return k
@@ -219,6 +228,10 @@
 
 func (w *world) call(node, method, path string, body any) (int, map[string]any) {
 	raw, _ := json.Marshal(body)
+	return w.observe(node, method, path, raw, func() (int, map[string]any) { return w.request(node, method, path, raw) })
+}
+
+func (w *world) request(node, method, path string, raw []byte) (int, map[string]any) {
 	ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
 	defer cancel()
 	req, _ := http.NewRequestWithContext(ctx, method, "http://"+node+":8080"+path, bytes.NewReader(raw))
@@ -279,9 +292,11 @@
 	}
 }
 
-// never checks the rule that holds in every story: no task on two machines.
+// never samples what holds in every story, besides the rules that watch each event:
+// no task on two machines.
 func (w *world) never() {
 	w.t.Helper()
+	w.rules.Overdue()
 	seen := map[string]string{}
 	for _, k := range w.workers {
 		for _, t := range k.Live() {
--- a/internal/fake/net.go
+++ b/internal/fake/net.go
@@ -11,7 +11,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
+	"time"
 )
 
 // Fate is what happens to one request.
@@ -30,6 +32,9 @@
 	Hold
 	// Copy delivers, and keeps a copy back until Release.
 	Copy
+	// Late delivers the request after Delay; the caller hangs and gives up. What
+	// was sent after it may be delivered before it.
+	Late
 )
 
 // Net joins hosts by name.
@@ -39,6 +44,91 @@
 	held  []func()
 	// Rule decides each request's fate; nil delivers all.
 	Rule func(from, to string, r *http.Request, body []byte) Fate
+	// Delay is how late the next Late request is delivered; 2 s if nil.
+	Delay func() time.Duration
+
+	results map[string]bool // tasks that completed, whose results are kept outside the machines
+}
+
+// Rule decides a request's fate.
+type Rule = func(from, to string, r *http.Request, body []byte) Fate
+
+// Rules joins rules: the first that does not simply deliver decides.
+func Rules(rules ...Rule) Rule {
+	return func(from, to string, r *http.Request, body []byte) Fate {
+		for _, rule := range rules {
+			if f := rule(from, to, r, body); f != Deliver {
+				return f
+			}
+		}
+		return Deliver
+	}
+}
+
+// On applies a fate to the requests on a path.
+func On(path string, f Fate) Rule {
+	return func(_, _ string, r *http.Request, _ []byte) Fate {
+		if r.URL.Path == path {
+			return f
+		}
+		return Deliver
+	}
+}
+
+func isHost(host, name string) bool { return host == name || strings.HasPrefix(host, name+":") }
+
+// Mute keeps a worker from reaching any controller, while direct commands reach it.
+func Mute(worker string) Rule {
+	return func(from, _ string, _ *http.Request, _ []byte) Fate {
+		if isHost(from, worker) {
+			return Refuse
+		}
+		return Deliver
+	}
+}
+
+// Deaf has a worker's reports arrive, while answers and direct commands to it are lost.
+func Deaf(worker string) Rule {
+	return func(from, to string, _ *http.Request, _ []byte) Fate {
+		switch {
+		case isHost(from, worker):
+			return LoseAnswer
+		case isHost(to, worker):
+			return Swallow
+		}
+		return Deliver
+	}
+}
+
+// CopyReports keeps copies of a worker's reports until Release, for the next leader.
+func CopyReports(worker string) Rule {
+	return func(from, _ string, r *http.Request, _ []byte) Fate {
+		if isHost(from, worker) && r.URL.Path == "/agent/beat" {
+			return Copy
+		}
+		return Deliver
+	}
+}
+
+// The headers tell the fakes what real hosts learn from a connection, or not at all.
+const (
+	sentHeader = "Fake-Sent"
+	fromHeader = "Fake-From"
+)
+
+func (n *Net) keepResult(task string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.results == nil {
+		n.results = map[string]bool{}
+	}
+	n.results[task] = true
+}
+
+func (n *Net) result(task string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.results[task]
 }
 
 // NewNet makes an empty network.
@@ -90,6 +180,12 @@
 	w.net.mu.Lock()
 	h, rule := w.net.hosts[r.URL.Host], w.net.Rule
 	w.net.mu.Unlock()
+	sent := time.Now().Format(time.RFC3339Nano)
+	mark := func(in *http.Request) {
+		in.Header = r.Header.Clone()
+		in.Header.Set(sentHeader, sent)
+		in.Header.Set(fromHeader, w.from)
+	}
 	fate := Deliver
 	if rule != nil {
 		fate = rule(w.from, r.URL.Host, r, body)
@@ -104,7 +200,7 @@
 		w.net.mu.Unlock()
 		if h != nil {
 			in := httptest.NewRequest(r.Method, r.URL.String(), bytes.NewReader(body))
-			in.Header = r.Header.Clone()
+			mark(in)
 			h.ServeHTTP(httptest.NewRecorder(), in)
 		}
 	}
@@ -113,24 +209,33 @@
 		w.net.held = append(w.net.held, late)
 		w.net.mu.Unlock()
 	}
-	deliver := func() *http.Response {
+	deliver := func() (*http.Response, error) {
 		in := httptest.NewRequest(r.Method, r.URL.String(), bytes.NewReader(body))
-		in.Header = r.Header.Clone()
+		mark(in)
 		in = in.WithContext(r.Context())
 		out := httptest.NewRecorder()
 		h.ServeHTTP(out, in)
-		return out.Result()
+		if err := r.Context().Err(); err != nil {
+			return nil, err // nobody waits for the answer any more
+		}
+		return out.Result(), nil
 	}
 	switch fate {
 	case LoseAnswer:
 		deliver()
+	case Late:
+		d := 2 * time.Second
+		if w.net.Delay != nil {
+			d = w.net.Delay()
+		}
+		time.AfterFunc(d, late)
 	case Hold:
 		keep()
 	case Copy:
 		keep()
-		return deliver(), nil
+		return deliver()
 	case Deliver:
-		return deliver(), nil
+		return deliver()
 	}
 	<-r.Context().Done()
 	return nil, r.Context().Err()
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -39,6 +39,9 @@
 	next  uint64
 	log   []change
 	down  bool
+	// refused are the callers that alone are refused, and since which epoch.
+	refused map[string]uint64
+	slow    time.Duration
 	// Keep is how many changes it remembers.
 	Keep int
 }
@@ -63,6 +66,28 @@
 	s.down = down
 }
 
+// Refuse refuses one caller alone, or serves it again. Its open watches wait as in
+// an outage, and its holds run out.
+func (s *Store) Refuse(caller string, refuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	delete(s.refused, caller)
+	if refuse {
+		if s.refused == nil {
+			s.refused = map[string]uint64{}
+		}
+		s.refused[caller] = s.epoch
+	}
+}
+
+// SetSlow has every call but watches take d longer, half before it is carried out.
+func (s *Store) SetSlow(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = d
+}
+
 // Value reads a key past all faults; nil when absent.
 func (s *Store) Value(key string) json.RawMessage {
 	s.mu.Lock()
@@ -118,7 +143,20 @@
 // ServeHTTP answers like the state service.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	if s.down {
+	if d := s.slow / 2; d > 0 && r.URL.Path != "/follow" {
+		s.mu.Unlock()
+		rest := func() {
+			select {
+			case <-time.After(d):
+			case <-r.Context().Done():
+			}
+		}
+		rest()
+		defer rest()
+		s.mu.Lock()
+	}
+	_, refused := s.refused[r.Header.Get(fromHeader)]
+	if s.down || refused {
 		follow := r.URL.Path == "/follow"
 		s.mu.Unlock()
 		if follow {
@@ -258,15 +296,18 @@
 			reply(w, 410, map[string]string{"error": "too old"})
 			return
 		}
+		epoch := s.epoch
+		if since, ok := s.refused[r.Header.Get(fromHeader)]; ok {
+			epoch = since
+		}
 		var news []change
 		if !s.down {
 			for _, c := range s.log {
-				if c.Stamp > after && strings.HasPrefix(c.Put+c.Remove, q.Get("under")) {
+				if c.Stamp > after && c.Stamp <= epoch && strings.HasPrefix(c.Put+c.Remove, q.Get("under")) {
 					news = append(news, c)
 				}
 			}
 		}
-		epoch := s.epoch
 		s.mu.Unlock()
 		if len(news) > 0 || !time.Now().Before(until) {
 			reply(w, 200, map[string]any{"epoch": epoch, "news": news})
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"time"
 )
@@ -19,6 +21,19 @@
 	Saved   bool   `json:"saved,omitempty"`
 }
 
+// Event is what a worker does to a task: a start carried out, or the task's end,
+// by itself, by command or with the worker's lease.
+type Event struct {
+	At      time.Time
+	Sent    time.Time // when the command was sent; zero for what needs none
+	Worker  *Worker
+	Session uint64
+	Task    string
+	Attempt uint64
+	Start   bool
+	Cause   string // of an end; "killed" for the end of a lease
+}
+
 type order struct {
 	Verb    string  `json:"verb"`
 	Task    string  `json:"piece"`
@@ -34,6 +49,8 @@
 	Nodes                  []string // addresses of the controllers' users side
 	Names                  []string // their names, for redirects
 	Report, Lease          time.Duration
+	// Watch is told every event as it happens, under the worker's lock.
+	Watch func(Event)
 
 	mu      sync.Mutex
 	session uint64
@@ -46,28 +63,133 @@
 	at      int
 	Starts  []string // every start carried out, "task#attempt"
 	Silent  bool     // sends no beats
+	changed chan struct{}
+	raised  time.Time // when a higher token last counted as a change
+	hung    chan struct{}
+	held    []func()
+}
+
+func (w *Worker) tell(p *Piece, sent time.Time, start bool, cause string) {
+	if w.Watch != nil {
+		w.Watch(Event{time.Now(), sent, w, w.session, p.Task, p.Attempt, start, cause})
+	}
+}
+
+// change has a report go out soon, as every change does.
+func (w *Worker) change() {
+	select {
+	case w.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (w *Worker) end(p *Piece, cause string) {
+	p.Status, p.Cause = "ended", cause
+	w.tell(p, time.Time{}, false, cause)
+	w.change()
 }
 
+// pace is the least time between two reports.
+const pace = 500 * time.Millisecond
+
 // Run reports until the context ends.
 func (w *Worker) Run(ctx context.Context) {
 	w.mu.Lock()
 	w.session, w.lapse, w.pieces = 1, time.Now().Add(w.Lease), map[string]*Piece{}
+	w.changed = make(chan struct{}, 1)
 	w.mu.Unlock()
 	w.Net.Listen(w.Addr, w)
+	go w.lapses(ctx)
 	for ctx.Err() == nil {
-		w.beat(ctx)
+		began := time.Now()
+		wait := w.beat(ctx)
+		changed := w.changed
+		if wait < w.Report {
+			changed = nil // it looks for another node first
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(w.Report):
+		case <-time.After(wait):
+		case <-changed:
+			select {
+			case <-time.After(time.Until(began.Add(pace))):
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
+// lapses ends the lease in time, whoever looks.
+func (w *Worker) lapses(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.mu.Lock()
+		w.checkLease()
+		d := time.Until(w.lapse) + 1
+		hung := w.hung
+		w.mu.Unlock()
+		if hung != nil {
+			select {
+			case <-hung:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		select {
+		case <-time.After(max(d, 1)):
+		case <-ctx.Done():
 		}
 	}
 }
 
 func (w *Worker) checkLease() {
-	if time.Now().After(w.lapse) {
+	if w.hung == nil && time.Now().After(w.lapse) {
+		for _, k := range w.order {
+			if p := w.pieces[k]; p != nil && p.Status != "ended" {
+				w.tell(p, time.Time{}, false, "killed")
+			}
+		}
 		w.session++
 		w.pieces, w.order = map[string]*Piece{}, nil
 		w.lapse = time.Now().Add(w.Lease)
+		w.change()
+	}
+}
+
+// SetHung stops the machine: it executes nothing, its tasks do not end, and what
+// is sent to it waits. When it goes on, its lease is judged first, then what
+// waited is carried out, in order, also commands whose sender has given up.
+func (w *Worker) SetHung(hung bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if hung == (w.hung != nil) {
+		return
+	}
+	if hung {
+		w.hung = make(chan struct{})
+		return
+	}
+	close(w.hung)
+	w.hung = nil
+	w.checkLease()
+	for _, f := range w.held {
+		f()
+	}
+	w.held = nil
+}
+
+// wake waits until the machine does not hang.
+func (w *Worker) wake(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.mu.Lock()
+		hung := w.hung
+		w.mu.Unlock()
+		if hung == nil {
+			return
+		}
+		select {
+		case <-hung:
+		case <-ctx.Done():
+		}
 	}
 }
 
@@ -83,27 +205,33 @@
 		"stint": w.session, "tick": w.tick, "baton": w.token, "warningS": w.warning, "pieces": ps}
 }
 
-func (w *Worker) beat(ctx context.Context) {
+// beat reports once and tells how long to wait until the next one.
+func (w *Worker) beat(run context.Context) time.Duration {
+	w.wake(run)
 	w.mu.Lock()
 	w.checkLease()
 	if w.Silent {
 		w.mu.Unlock()
-		return
+		return w.Report
 	}
 	session, sent := w.session, time.Now()
 	raw, _ := json.Marshal(w.report())
 	node := w.Nodes[w.at]
 	w.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
+	ctx, cancel := context.WithTimeout(run, 4*time.Second)
 	defer cancel()
 	req, _ := http.NewRequestWithContext(ctx, "POST", "http://"+node+"/agent/beat", bytes.NewReader(raw))
 	res, err := w.Net.Client(w.Addr).Do(req)
+	w.wake(run)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.checkLease()
-	if err != nil {
+	next := func() time.Duration {
 		w.at = (w.at + 1) % len(w.Nodes)
-		return
+		return time.Second
+	}
+	if err != nil || ctx.Err() != nil {
+		return next()
 	}
 	defer res.Body.Close()
 	var out struct {
@@ -113,39 +241,72 @@
 	}
 	json.NewDecoder(res.Body).Decode(&out)
 	if res.StatusCode != 200 {
-		w.at = (w.at + 1) % len(w.Nodes)
 		for i, n := range w.Names {
-			if n == out.AnswerTo {
+			if n == out.AnswerTo && i != w.at {
 				w.at = i
+				return pace / 2
 			}
 		}
-		return
+		return next()
 	}
 	if out.Token < w.token || session != w.session {
-		return
+		return w.Report
 	}
-	w.token, w.lapse = out.Token, sent.Add(w.Lease)
-	w.carryOut(out.Orders)
+	w.see(out.Token)
+	w.lapse = sent.Add(w.Lease)
+	w.carryOut(out.Orders, time.Now())
+	return w.Report
 }
 
-func (w *Worker) carryOut(orders []order) {
+// see takes a token; a higher one counts as a change, though not often.
+func (w *Worker) see(token uint64) {
+	if token > w.token && time.Since(w.raised) > w.Lease/2 {
+		w.raised = time.Now()
+		w.change()
+	}
+	w.token = token
+}
+
+func (w *Worker) carryOut(orders []order, sent time.Time) {
 	for _, o := range orders {
 		k := fmt.Sprintf("%s#%d", o.Task, o.Attempt)
 		p := w.pieces[k]
 		switch o.Verb {
 		case "start":
-			if p == nil {
-				w.pieces[k] = &Piece{Task: o.Task, Attempt: o.Attempt, Status: "running"}
-				w.order = append(w.order, k)
-				w.Starts = append(w.Starts, k)
+			if p != nil {
+				continue
+			}
+			busy := false
+			for _, q := range w.pieces {
+				busy = busy || q.Task == o.Task && q.Status != "ended"
+			}
+			p = &Piece{Task: o.Task, Attempt: o.Attempt, Status: "running"}
+			w.pieces[k] = p
+			w.order = append(w.order, k)
+			w.change()
+			if busy {
+				p.Status, p.Cause = "ended", "busy"
+				continue
+			}
+			w.Starts = append(w.Starts, k)
+			w.tell(p, sent, true, "")
+			if w.Net.result(o.Task) {
+				w.end(p, "done")
 			}
 		case "stop":
 			if p != nil && p.Status != "ended" {
-				p.Status, p.Cause, p.Saved = "ended", "stopped", o.Leeway > 0
+				p.Saved = o.Leeway > 0
+				w.end(p, "stopped")
 			}
 		case "clear":
 			if p != nil && p.Status == "ended" {
 				delete(w.pieces, k)
+				for i := range w.order {
+					if w.order[i] == k {
+						w.order = append(w.order[:i], w.order[i+1:]...)
+						break
+					}
+				}
 			}
 		}
 	}
@@ -153,10 +314,30 @@
 
 // ServeHTTP takes direct commands and shows the report.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	if r.Method == "GET" {
-		w.mu.Lock()
+	raw, _ := io.ReadAll(r.Body)
+	w.mu.Lock()
+	if w.hung == nil {
 		defer w.mu.Unlock()
-		w.checkLease()
+		w.serve(rw, r, raw)
+		return
+	}
+	out, done := httptest.NewRecorder(), make(chan struct{})
+	w.held = append(w.held, func() {
+		w.serve(out, r, raw)
+		close(done)
+	})
+	w.mu.Unlock()
+	select {
+	case <-done:
+		rw.WriteHeader(out.Code)
+		rw.Write(out.Body.Bytes())
+	case <-r.Context().Done():
+	}
+}
+
+func (w *Worker) serve(rw http.ResponseWriter, r *http.Request, raw []byte) {
+	w.checkLease()
+	if r.Method == "GET" {
 		reply(rw, 200, w.report())
 		return
 	}
@@ -165,16 +346,14 @@
 		Session uint64  `json:"stint"`
 		Orders  []order `json:"orders"`
 	}
-	json.NewDecoder(r.Body).Decode(&in)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.checkLease()
+	json.Unmarshal(raw, &in)
 	if in.Token < w.token || in.Session != w.session {
 		reply(rw, 409, w.report())
 		return
 	}
-	w.token = in.Token
-	w.carryOut(in.Orders)
+	w.see(in.Token)
+	sent, _ := time.Parse(time.RFC3339Nano, r.Header.Get(sentHeader))
+	w.carryOut(in.Orders, sent)
 	reply(rw, 200, w.report())
 }
 
@@ -182,9 +361,16 @@
 func (w *Worker) End(task, cause string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.checkLease()
+	if w.hung != nil {
+		return false
+	}
 	for _, p := range w.pieces {
 		if p.Task == task && p.Status != "ended" {
-			p.Status, p.Cause = "ended", cause
+			if cause == "done" {
+				w.Net.keepResult(task)
+			}
+			w.end(p, cause)
 			return true
 		}
 	}
@@ -198,6 +384,7 @@
 	for _, p := range w.pieces {
 		if p.Task == task && p.Status != "ended" {
 			p.Status = status
+			w.change()
 		}
 	}
 }
