--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -266,3 +266,56 @@
 	cancel()
 	return ctx
 }
+
+func TestAWatchMovesACopyOnlyAsFarAsItsNews(t *testing.T) {
+	// Guards against a watch that waits out an outage, or this node's being refused,
+	// and then ends well with an epoch whose changes it never showed: to follow from
+	// there would lose them for good, and nobody may take the copy for complete.
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		n, s, c := setup()
+		put := func(k string) {
+			if _, err := c.Commit(ctx, Txn{Then: []Op{{Put: k, Value: []byte(`1`)}}}, Urgent); err != nil {
+				t.Fatal(err)
+			}
+		}
+		put("j/1")
+		blind := false
+		n.Listen("state:1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if blind && r.URL.Path == "/follow" {
+				time.Sleep(time.Second)
+				fmt.Fprint(w, `{"epoch":1000,"news":[]}`)
+				return
+			}
+			s.ServeHTTP(w, r)
+		}))
+		m := NewMirror(c, "j/", 10*time.Millisecond)
+		go m.Run(ctx)
+		time.Sleep(time.Second)
+		blind = true
+		put("j/2")
+		time.Sleep(15 * time.Second)
+		if !m.AsOf().IsZero() {
+			t.Error("a watch alone makes the copy complete")
+		}
+		blind = false
+		began := time.Now()
+		if err := m.Sync(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if _, found, _ := m.Get("j/2"); !found {
+			t.Error("a change is lost that a watch without news passed over")
+		}
+		if m.AsOf().Before(began) {
+			t.Error("a read does not make the copy complete")
+		}
+		put("other/1")
+		put("j/3")
+		time.Sleep(time.Second)
+		if _, found, _ := m.Get("j/3"); !found {
+			t.Error("news no longer come in")
+		}
+	})
+}
