--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -1,13 +1,9 @@
 package claim
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
-	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -285,97 +281,6 @@
 	b.unqueue(j)
 }
 
-// Load fills the book with the records found at a takeover. Their claims lapsed
-// with their owner; their places stay until a report, a lapse or the cloud says
-// what became of them.
-func (b *Book) Load(recs map[ids.Job]*Record, stamps map[ids.Job]ids.Stamp, at ids.Stamp, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	// News may have come before the list: what is not in it is kept only if it
-	// is newer than the list.
-	for id, j := range b.jobs {
-		if s, listed := stamps[id]; j.stamp <= at && !listed || listed && s > j.stamp {
-			for _, i := range sortedTasks(j.places) {
-				b.dropPlace(j.places[i])
-			}
-			b.unlist(j)
-		}
-	}
-	for id, r := range recs {
-		if b.jobs[id] == nil {
-			b.addJob(r, stamps[id], now)
-		}
-	}
-	poke(b.wakePlan)
-	poke(b.wakeCommit)
-}
-
-func (b *Book) addJob(r *Record, stamp ids.Stamp, now time.Time) *Job {
-	j := &Job{Rec: *r, stamp: stamp, places: map[int]*Place{}, tries: map[int]*retry{},
-		settled: map[taskAttempt]uint64{}, version: r.Seq, saved: r.Seq, known: now}
-	if j.version == 0 {
-		j.version, j.saved = 1, 1
-	}
-	b.jobs[r.Spec.ID] = j
-	b.queue(j)
-	r.eachPlace(func(i int, at spot) {
-		b.roster.Ensure(at.machine, now, b.trustSilence)
-		b.putPlace(&Place{Job: j, Index: i, Machine: at.machine, Session: at.session, Attempt: at.attempt,
-			Token: at.token, sent: true, since: now, stopping: j.cancelled(), why: "cancelled"})
-	})
-	j.Rec.Places = nil
-	b.finishIfOver(j)
-	return j
-}
-
-// wrote tells whether a record is this owner's own writing, without reading
-// all of it: most news is, and the book knows it already.
-func (b *Book) wrote(raw json.RawMessage) bool {
-	return bytes.Contains(raw, []byte(`"writer":"`+b.writer+`"`))
-}
-
-// Learn takes in what another controller wrote: a new job or a cancellation.
-// rec is nil when the live record went away.
-func (b *Book) Learn(id ids.Job, stamp ids.Stamp, rec *Record, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	j := b.jobs[id]
-	if j == nil {
-		if rec != nil && !b.gone[id] && !rec.Status.Over() {
-			b.addJob(rec, stamp, now)
-			poke(b.wakePlan)
-		}
-		return
-	}
-	if stamp <= j.stamp || rec != nil && rec.Writer == b.writer {
-		return // our own write; its answer or a read after it settles that
-	}
-	if rec == nil {
-		// Our own ending shows here too, as news that may outrun its answer.
-		// Another's ending is only written while no task is placed, and our
-		// next write on the job finds out.
-		if !j.Rec.Status.Over() && len(j.places) == 0 {
-			b.forget(j)
-		}
-		return
-	}
-	b.adopt(j, stamp, rec)
-}
-
-// adopt takes over another controller's write on a known job.
-func (b *Book) adopt(j *Job, stamp ids.Stamp, rec *Record) {
-	j.stamp = stamp
-	if rec.Status == Cancelling && !j.cancelled() {
-		// The user was told so. A completion that only this memory knows came
-		// too late: what is told first stands.
-		if j.Rec.Status == Done {
-			j.Rec.Status = Claimed
-		}
-		b.cancel(j)
-	}
-	b.touch(j)
-}
-
 // cancel stops everything of a job whose user was, or is about to be, told.
 func (b *Book) cancel(j *Job) {
 	if j.cancelled() || j.Rec.Status == Done {
@@ -442,25 +347,6 @@
 	}
 }
 
-// forget drops a job whose end is stored. What may still be on machines stays
-// in the books until proven gone.
-func (b *Book) forget(j *Job) {
-	id := j.Rec.Spec.ID
-	j.ended = true
-	delete(b.dirty, j)
-	if len(j.places) == 0 {
-		b.unlist(j)
-	}
-	if !b.gone[id] {
-		b.gone[id] = true
-		b.goneQ = append(b.goneQ, id)
-		if len(b.goneQ) > 20000 {
-			delete(b.gone, b.goneQ[0])
-			b.goneQ = b.goneQ[1:]
-		}
-	}
-}
-
 // SetTypes stores the cloud's offer.
 func (b *Book) SetTypes(ts []placement.Type) {
 	b.mu.Lock()
@@ -478,59 +364,6 @@
 	}
 }
 
-// Explain tells a job's trail and why its tasks wait, as the owner sees it.
-func (b *Book) Explain(id ids.Job) []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	j := b.jobs[id]
-	if j == nil {
-		return nil
-	}
-	var out []string
-	now := time.Now()
-	if j.waiting != "" {
-		out = append(out, "waits: "+j.waiting)
-		if j.pending() > 0 && !j.failing() {
-			out = append(out, b.onTheWay(j, now)...)
-		}
-	}
-	out = append(out, j.failureLines(now)...)
-	out = append(out, b.standing(j, now)...)
-	for _, i := range sortedTasks(j.places) {
-		p := j.places[i]
-		st := p.status
-		switch {
-		case p.stopping && !p.seen:
-			st = "uncertain, to be stopped: " + p.why
-		case p.stopping:
-			st += ", stopping: " + p.why
-		case !p.sent:
-			st = "marked"
-		case !p.seen:
-			st = "start not confirmed"
-		}
-		zone, heard := "?", "not heard by this owner"
-		if m := b.roster.Machines[p.Machine]; m != nil && m.Heard {
-			zone, heard = m.Zone, fmt.Sprintf("heard %.1fs ago", m.Silent(now).Seconds())
-		}
-		out = append(out, fmt.Sprintf("task %d attempt %d on %s (%s, %s): %s", i, p.Attempt, p.Machine, zone, heard, st))
-		if len(out) > 200 {
-			return append(out, "…")
-		}
-	}
-	tries := make([]int, 0, len(j.tries))
-	for i := range j.tries {
-		tries = append(tries, i)
-	}
-	sort.Ints(tries)
-	for _, i := range tries {
-		if r := j.tries[i]; r.at.After(now) {
-			out = append(out, fmt.Sprintf("task %d failed %d times, tried again in %.1fs", i, r.fails, r.at.Sub(now).Seconds()))
-		}
-	}
-	return out
-}
-
 // Generation is the token that this owner's commands carry now.
 func (b *Book) Generation() ids.Generation {
 	b.mu.Lock()
@@ -565,33 +398,6 @@
 // no lock: every user's call asks.
 func (b *Book) Machines() int { return int(b.size.Load()) }
 
-// Summary counts what the owner has, for operators.
-func (b *Book) Summary() map[string]any {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	heard, draining := 0, 0
-	for _, m := range b.roster.Machines {
-		if m.Heard {
-			heard++
-		}
-		if m.Draining != "" || !m.TakenAt.IsZero() {
-			draining++
-		}
-	}
-	waiting := map[string]int{}
-	places := 0
-	for _, j := range b.jobs {
-		places += len(j.places)
-		if j.waiting != "" {
-			waiting[j.waiting]++
-		}
-	}
-	return map[string]any{"generation": b.gen, "jobs": len(b.jobs), "placed": places, "machines": len(b.roster.Machines),
-		"heard": heard, "draining": draining, "waiting": waiting,
-		"spent": map[string]any{"boot": cents(b.spent.boot), "idle": cents(b.spent.idle), "free": cents(b.spent.free), "fetch": cents(b.spent.fetch),
-			"wait": cents(b.spent.wait), "run": cents(b.spent.run), "againCoreSeconds": maps.Clone(b.spent.again)}}
-}
-
 // cutOff tells whether this node has lost most machines while others reach
 // them.
 func (b *Book) cutOff(stranded []Strand, now time.Time) bool {
--- /dev/null
+++ b/internal/claim/learn.go
@@ -0,0 +1,119 @@
+package claim
+
+import (
+	"bytes"
+	"encoding/json"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+)
+
+// Load fills the book with the records found at a takeover. Their claims lapsed
+// with their owner; their places stay until a report, a lapse or the cloud says
+// what became of them.
+func (b *Book) Load(recs map[ids.Job]*Record, stamps map[ids.Job]ids.Stamp, at ids.Stamp, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	// News may have come before the list: what is not in it is kept only if it
+	// is newer than the list.
+	for id, j := range b.jobs {
+		if s, listed := stamps[id]; j.stamp <= at && !listed || listed && s > j.stamp {
+			for _, i := range sortedTasks(j.places) {
+				b.dropPlace(j.places[i])
+			}
+			b.unlist(j)
+		}
+	}
+	for id, r := range recs {
+		if b.jobs[id] == nil {
+			b.addJob(r, stamps[id], now)
+		}
+	}
+	poke(b.wakePlan)
+	poke(b.wakeCommit)
+}
+
+func (b *Book) addJob(r *Record, stamp ids.Stamp, now time.Time) *Job {
+	j := &Job{Rec: *r, stamp: stamp, places: map[int]*Place{}, tries: map[int]*retry{},
+		settled: map[taskAttempt]uint64{}, version: r.Seq, saved: r.Seq, known: now}
+	if j.version == 0 {
+		j.version, j.saved = 1, 1
+	}
+	b.jobs[r.Spec.ID] = j
+	b.queue(j)
+	r.eachPlace(func(i int, at spot) {
+		b.roster.Ensure(at.machine, now, b.trustSilence)
+		b.putPlace(&Place{Job: j, Index: i, Machine: at.machine, Session: at.session, Attempt: at.attempt,
+			Token: at.token, sent: true, since: now, stopping: j.cancelled(), why: "cancelled"})
+	})
+	j.Rec.Places = nil
+	b.finishIfOver(j)
+	return j
+}
+
+// wrote tells whether a record is this owner's own writing, without reading
+// all of it: most news is, and the book knows it already.
+func (b *Book) wrote(raw json.RawMessage) bool {
+	return bytes.Contains(raw, []byte(`"writer":"`+b.writer+`"`))
+}
+
+// Learn takes in what another controller wrote: a new job or a cancellation.
+// rec is nil when the live record went away.
+func (b *Book) Learn(id ids.Job, stamp ids.Stamp, rec *Record, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	j := b.jobs[id]
+	if j == nil {
+		if rec != nil && !b.gone[id] && !rec.Status.Over() {
+			b.addJob(rec, stamp, now)
+			poke(b.wakePlan)
+		}
+		return
+	}
+	if stamp <= j.stamp || rec != nil && rec.Writer == b.writer {
+		return // our own write; its answer or a read after it settles that
+	}
+	if rec == nil {
+		// Our own ending shows here too, as news that may outrun its answer.
+		// Another's ending is only written while no task is placed, and our
+		// next write on the job finds out.
+		if !j.Rec.Status.Over() && len(j.places) == 0 {
+			b.forget(j)
+		}
+		return
+	}
+	b.adopt(j, stamp, rec)
+}
+
+// adopt takes over another controller's write on a known job.
+func (b *Book) adopt(j *Job, stamp ids.Stamp, rec *Record) {
+	j.stamp = stamp
+	if rec.Status == Cancelling && !j.cancelled() {
+		// The user was told so. A completion that only this memory knows came
+		// too late: what is told first stands.
+		if j.Rec.Status == Done {
+			j.Rec.Status = Claimed
+		}
+		b.cancel(j)
+	}
+	b.touch(j)
+}
+
+// forget drops a job whose end is stored. What may still be on machines stays
+// in the books until proven gone.
+func (b *Book) forget(j *Job) {
+	id := j.Rec.Spec.ID
+	j.ended = true
+	delete(b.dirty, j)
+	if len(j.places) == 0 {
+		b.unlist(j)
+	}
+	if !b.gone[id] {
+		b.gone[id] = true
+		b.goneQ = append(b.goneQ, id)
+		if len(b.goneQ) > 20000 {
+			delete(b.gone, b.goneQ[0])
+			b.goneQ = b.goneQ[1:]
+		}
+	}
+}
--- /dev/null
+++ b/internal/claim/takeover.go
@@ -0,0 +1,218 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/state"
+)
+
+// lastOwner is whose generation this node has seen, and since when.
+type lastOwner struct {
+	writer string
+	since  time.Time
+}
+
+// vacant tells whether the pool looks free, or held by a dead predecessor of
+// this very node.
+func (p *Pool) vacant() bool {
+	p.mu.Lock()
+	resting := time.Now().Before(p.resting)
+	p.mu.Unlock()
+	e, found, ready := p.mirror.Get(OwnerKey)
+	if !ready || resting {
+		return false
+	}
+	if !found {
+		return true
+	}
+	var o ownerRec
+	return json.Unmarshal(e.Value, &o) == nil && o.Node == p.Set.HostName
+}
+
+// campaign tries to take the pool over.
+func (p *Pool) campaign(ctx context.Context, life time.Duration) error {
+	cur, found, err := p.State.Get(ctx, OwnerKey, state.Urgent)
+	if err != nil {
+		return err
+	}
+	if found {
+		var o ownerRec
+		if err := json.Unmarshal(cur.Value, &o); err != nil {
+			return err
+		}
+		if o.Node != p.Set.HostName {
+			wait(ctx, 100*time.Millisecond) // the mirror is behind
+			return errors.New("owned by " + string(o.Node))
+		}
+		// Only one process runs on a node: this hold's owner is dead, or an
+		// earlier term of ours whose answer got lost.
+		slog.Info("ending the hold of this node's earlier life", "writer", o.Writer)
+		if err := p.State.End(ctx, o.Hold); err != nil && !errors.Is(err, state.ErrNoHold) {
+			return err
+		}
+	}
+	var prev generationRec
+	ge, found, err := p.State.Get(ctx, GenerationKey, state.Urgent)
+	if err != nil {
+		return err
+	}
+	if found {
+		if err := json.Unmarshal(ge.Value, &prev); err != nil {
+			return err
+		}
+	}
+	sent := time.Now()
+	hold, err := p.State.NewHold(ctx, life)
+	if err != nil {
+		return err
+	}
+	gen := prev.Generation + 1
+	writer := fmt.Sprintf("%s/%d", p.incarnation, gen)
+	oraw, _ := json.Marshal(ownerRec{p.Set.HostName, writer, hold, gen})
+	graw, _ := json.Marshal(generationRec{gen, p.Set.HostName, writer})
+	epoch, err := p.State.Commit(ctx, state.Txn{
+		When: []state.Cond{{Key: OwnerKey}, {Key: GenerationKey, Stamp: ge.Stamp}},
+		Then: []state.Op{{Put: OwnerKey, Value: oraw, Hold: hold}, {Put: GenerationKey, Value: graw}},
+	}, state.Urgent)
+	if errors.Is(err, state.ErrUnknown) {
+		// Read back what became of it.
+		e, found, rerr := p.State.Get(ctx, GenerationKey, state.Urgent)
+		var g generationRec
+		if rerr == nil && found && json.Unmarshal(e.Value, &g) == nil && g.Writer == writer {
+			epoch, err = ids.Epoch(e.Stamp), nil
+		}
+	}
+	if err != nil {
+		return err
+	}
+	p.begin(ctx, prev, gen, writer, hold, ids.Stamp(epoch), sent)
+	return nil
+}
+
+// begin starts a term.
+func (p *Pool) begin(ctx context.Context, prev generationRec, gen ids.Generation, writer string, hold ids.Hold, stamp ids.Stamp, sent time.Time) {
+	now := time.Now()
+	w := &p.Set.Params.Workers
+	trust := now.Add(p.Set.Grace().Drifted() + w.LeaseS.Drifted())
+	b := NewBook(p.Set, writer, gen, trust)
+	fresh := time.Duration(p.Set.Own.PoolHoldMs) * time.Millisecond / 2
+	b.Storing = func() bool {
+		age, ok := p.State.SinceGood()
+		return ok && age < fresh
+	}
+	tctx, cancel := context.WithCancel(ctx)
+	t := &Term{Gen: gen, Book: b, hold: hold, began: now, renewed: sent, loaded: make(chan struct{}), cancel: cancel}
+	t.Committer = NewCommitter(b, p.State, p.Set.HostName, stamp)
+	t.Dispatcher = NewDispatcher(b, p.Commander, p.Set.Sockets().Direct/4)
+	t.Dispatcher.May = func() bool { return p.proven(t) }
+	b.Starting = func() bool { return p.mayStart(t) }
+	t.Committer.OnLost = func(why string) { go p.stepDown(t, why) }
+	t.Committer.OnStored = t.Dispatcher.Wake
+	p.State.Budget().SetOwner(true)
+	p.mu.Lock()
+	b.Seed(p.hints, now)
+	p.term = t
+	p.mu.Unlock()
+	slog.Info("took the machine pool over", "generation", gen)
+	t.done.Add(1)
+	go func() {
+		defer t.done.Done()
+		if p.load(tctx, t) {
+			p.runTerm(tctx, t)
+		}
+	}()
+	go p.confirmStopped(tctx, t, p.whoMayAnswer(prev, now)...)
+}
+
+// load reads every live record; the takeover's commit keeps older owners from
+// changing any of them.
+func (p *Pool) load(ctx context.Context, t *Term) bool {
+	for ctx.Err() == nil {
+		// The copy is warm; what it lacks is read after the takeover's commit.
+		err := p.jobs.Sync(ctx)
+		jobs, epoch := p.jobs.All()
+		if err == nil {
+			t.Intents, _, err = p.State.ListAll(ctx, HirePrefix, state.Urgent)
+		}
+		if err != nil {
+			wait(ctx, 100*time.Millisecond)
+			continue
+		}
+		recs, stamps := map[ids.Job]*Record{}, map[ids.Job]ids.Stamp{}
+		for _, e := range jobs {
+			rec, err := Decode(e.Value)
+			if err != nil {
+				slog.Error("unreadable record", "key", e.Key, "err", err)
+				continue
+			}
+			recs[rec.Spec.ID], stamps[rec.Spec.ID] = rec, e.Stamp
+		}
+		t.Book.Load(recs, stamps, ids.Stamp(epoch), time.Now())
+		close(t.loaded)
+		slog.Info("records loaded", "jobs", len(recs), "hires", len(t.Intents))
+		return true
+	}
+	return false
+}
+
+// Superseded is told by a peer of a higher generation; the answer confirms
+// that this node answers no beats under an older one.
+func (p *Pool) Superseded(gen ids.Generation) bool {
+	if t := p.Term(); t != nil {
+		if t.Book.Generation() >= gen {
+			return false
+		}
+		p.stepDown(t, "a peer owns a higher generation")
+	}
+	return true
+}
+
+// watchOwner notes whose generation it is and since when.
+func (p *Pool) watchOwner() {
+	e, found, ready := p.mirror.Get(GenerationKey)
+	var g generationRec
+	if !ready || !found || json.Unmarshal(e.Value, &g) != nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if g.Writer != p.last.writer {
+		p.last = lastOwner{g.Writer, time.Now()}
+	}
+}
+
+// whoMayAnswer names the controllers that may still be answering beats under an
+// older generation: only the last owner, if this node has seen it own the pool
+// for longer than the grace of whoever was before it; otherwise none is named, and
+// all must be asked. In a zone that is cut off there may be controllers, which
+// cannot confirm anything, and need not.
+func (p *Pool) whoMayAnswer(prev generationRec, now time.Time) []ids.Node {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if prev.Writer == "" || prev.Node == p.Set.HostName || prev.Writer != p.last.writer || now.Sub(p.last.since) < p.Set.Grace().Drifted()+time.Second {
+		return nil
+	}
+	return []ids.Node{prev.Node}
+}
+
+// confirmStopped shortens the wait for silent workers' lapses once those who may
+// still be answering them say that they have stopped.
+func (p *Pool) confirmStopped(ctx context.Context, t *Term, of ...ids.Node) {
+	for ctx.Err() == nil {
+		if p.Peers == nil {
+			return
+		}
+		if p.Peers.AllStopped(ctx, t.Gen, of...) {
+			now := time.Now()
+			t.Book.Trust(now.Add(p.Set.Params.Workers.LeaseS.Drifted()))
+			return
+		}
+		wait(ctx, 500*time.Millisecond)
+	}
+}
