--- a/internal/fake/net.go
+++ b/internal/fake/net.go
@@ -46,6 +46,8 @@
 	Rule func(from, to string, r *http.Request, body []byte) Fate
 	// Delay is how late the next Late request is delivered; 2 s if nil.
 	Delay func() time.Duration
+	// Lag is how long a request takes, and its answer again; nil is no time.
+	Lag func() time.Duration
 
 	results map[string]bool // tasks that completed, whose results are kept outside the machines
 }
@@ -178,8 +180,16 @@
 		r.Body.Close()
 	}
 	w.net.mu.Lock()
-	h, rule := w.net.hosts[r.URL.Host], w.net.Rule
+	h, rule, lag := w.net.hosts[r.URL.Host], w.net.Rule, w.net.Lag
 	w.net.mu.Unlock()
+	travel := func() {
+		if lag != nil {
+			select {
+			case <-time.After(lag()):
+			case <-r.Context().Done():
+			}
+		}
+	}
 	sent := time.Now().Format(time.RFC3339Nano)
 	mark := func(in *http.Request) {
 		in.Header = r.Header.Clone()
@@ -193,6 +203,7 @@
 	if h == nil || fate == Refuse {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errors.New("connection refused")}
 	}
+	travel() // it arrives even if its sender gives up meanwhile
 	late := func() {
 		// It reaches whoever listens there by then.
 		w.net.mu.Lock()
@@ -215,6 +226,7 @@
 		in = in.WithContext(r.Context())
 		out := httptest.NewRecorder()
 		h.ServeHTTP(out, in)
+		travel()
 		if err := r.Context().Err(); err != nil {
 			return nil, err // nobody waits for the answer any more
 		}
