--- a/internal/claim/users_test.go
+++ b/internal/claim/users_test.go
@@ -300,6 +300,8 @@
 					select {
 					case <-over:
 						return
+					case <-w.ctx.Done():
+						return
 					case <-time.After(d.ms(300, 900)):
 						w.call(d.node(), "GET", "/v2/runs/"+id, nil)
 					}
@@ -332,6 +334,8 @@
 			select {
 			case <-over:
 				return
+			case <-w.ctx.Done():
+				return
 			case <-time.After(200 * time.Millisecond):
 			}
 		}
@@ -450,6 +454,8 @@
 					select {
 					case <-over:
 						return
+					case <-w.ctx.Done():
+						return
 					case <-time.After(100 * time.Millisecond):
 					}
 				}
--- a/internal/fake/net.go
+++ b/internal/fake/net.go
@@ -226,11 +226,13 @@
 		in = in.WithContext(r.Context())
 		out := httptest.NewRecorder()
 		h.ServeHTTP(out, in)
+		res := out.Result()
+		res.Header.Set(sentHeader, time.Now().Format(time.RFC3339Nano))
 		travel()
 		if err := r.Context().Err(); err != nil {
 			return nil, err // nobody waits for the answer any more
 		}
-		return out.Result(), nil
+		return res, nil
 	}
 	switch fate {
 	case LoseAnswer:
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -254,7 +254,7 @@
 	}
 	w.see(out.Token)
 	w.lapse = sent.Add(w.Lease)
-	w.carryOut(out.Orders, time.Now())
+	w.carryOut(out.Orders, sentAt(res.Header))
 	return w.Report
 }
 
@@ -312,6 +312,11 @@
 	}
 }
 
+func sentAt(h http.Header) time.Time {
+	at, _ := time.Parse(time.RFC3339Nano, h.Get(sentHeader))
+	return at
+}
+
 // ServeHTTP takes direct commands and shows the report.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	raw, _ := io.ReadAll(r.Body)
@@ -352,8 +357,7 @@
 		return
 	}
 	w.see(in.Token)
-	sent, _ := time.Parse(time.RFC3339Nano, r.Header.Get(sentHeader))
-	w.carryOut(in.Orders, sent)
+	w.carryOut(in.Orders, sentAt(r.Header))
 	reply(rw, 200, w.report())
 }
 
