--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -190,8 +190,23 @@
 	return true
 }
 
-// Tell passes writes on at once.
+// Tell passes writes on: to its own pool at once, to the others as fast as the
+// network is. The user's answer does not wait for that.
 func (n *node) Tell(id ids.Job, stamp ids.Stamp, rec *claim.Record, raw json.RawMessage) {
+	if lag := n.w.net.Lag; lag != nil && n.pool.Book() == nil {
+		go func() {
+			select {
+			case <-time.After(lag()):
+				n.tell(id, stamp, rec)
+			case <-n.w.ctx.Done():
+			}
+		}()
+		return
+	}
+	n.tell(id, stamp, rec)
+}
+
+func (n *node) tell(id ids.Job, stamp ids.Stamp, rec *claim.Record) {
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
 	for name, o := range n.w.nodes {
--- a/internal/fake/net.go
+++ b/internal/fake/net.go
@@ -35,6 +35,8 @@
 	// Late delivers the request after Delay; the caller hangs and gives up. What
 	// was sent after it may be delivered before it.
 	Late
+	// SlowAnswer delivers at once, and the answer after Delay.
+	SlowAnswer
 )
 
 // Net joins hosts by name.
@@ -44,7 +46,7 @@
 	held  []func()
 	// Rule decides each request's fate; nil delivers all.
 	Rule func(from, to string, r *http.Request, body []byte) Fate
-	// Delay is how late the next Late request is delivered; 2 s if nil.
+	// Delay is how late the next Late request or SlowAnswer is delivered; 2 s if nil.
 	Delay func() time.Duration
 	// Lag is how long a request takes, and its answer again; nil is no time.
 	Lag func() time.Duration
@@ -234,15 +236,24 @@
 		}
 		return res, nil
 	}
+	delay := func() time.Duration {
+		if w.net.Delay == nil {
+			return 2 * time.Second
+		}
+		return w.net.Delay()
+	}
 	switch fate {
 	case LoseAnswer:
 		deliver()
 	case Late:
-		d := 2 * time.Second
-		if w.net.Delay != nil {
-			d = w.net.Delay()
+		time.AfterFunc(delay(), late)
+	case SlowAnswer:
+		res, err := deliver()
+		select {
+		case <-time.After(delay()):
+			return res, err
+		case <-r.Context().Done():
 		}
-		time.AfterFunc(d, late)
 	case Hold:
 		keep()
 	case Copy:
