--- /dev/null
+++ b/internal/claim/mixed_test.go
@@ -0,0 +1,157 @@
+package claim_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/fake"
+)
+
+func TestTwoTroublesAtOnceWhileUsersSubmitAskAndCancel(t *testing.T) {
+	// Guards against rules that hold in each trouble alone: machines hang, are mute or
+	// deaf or have their reports copied, the state service refuses the owner or is slow,
+	// and the owner ends, two of these at a time, for up to beyond a lease. Once all is
+	// over, every job comes to its end.
+	for seed := range uint64(4) {
+		story(t, func(t *testing.T, w *world) {
+			d := newDice(seed)
+			w.listed = true
+			w.start("a")
+			w.start("b")
+			machines := []string{"m1", "m2", "m3", "m4"}
+			for i, m := range machines {
+				w.worker(m, []string{"north", "south"}[i%2])
+			}
+			time.Sleep(10 * time.Second)
+			w.lags(d)
+			var mu sync.Mutex
+			rules := map[int]fake.Rule{}
+			w.net.SetRule(func(from, to string, r *http.Request, body []byte) fake.Fate {
+				mu.Lock()
+				defer mu.Unlock()
+				for i := range 2 {
+					if rules[i] != nil {
+						if f := rules[i](from, to, r, body); f != fake.Deliver {
+							return f
+						}
+					}
+				}
+				return fake.Deliver
+			})
+			set := func(i int, r fake.Rule) {
+				mu.Lock()
+				defer mu.Unlock()
+				rules[i] = r
+			}
+			trouble := func(i int) {
+				m, how, spell := machines[d.n(4)], d.n(7), d.ms(2000, 28000)
+				switch how {
+				case 0:
+					w.worn(m).SetHung(true)
+					time.Sleep(spell)
+					w.worn(m).SetHung(false)
+				case 1, 2, 3:
+					set(i, []fake.Rule{fake.Mute(m), fake.Deaf(m), fake.CopyReports(m)}[how-1])
+					time.Sleep(spell)
+					set(i, nil)
+					time.Sleep(d.ms(0, 3000))
+					w.net.Release()
+				case 4:
+					if o := w.owner(); o != nil {
+						w.store.Refuse(o.name, true)
+						time.Sleep(spell)
+						w.store.Refuse(o.name, false)
+					}
+				case 5:
+					w.store.SetSlow(d.ms(50, 800))
+					time.Sleep(spell)
+					w.store.SetSlow(0)
+				case 6:
+					w.mu.Lock()
+					n := w.nodes[d.node()]
+					w.mu.Unlock()
+					if n != nil {
+						n.kill()
+						time.Sleep(d.ms(100, 8000))
+						w.start(n.name)
+					}
+				}
+			}
+			over := make(chan struct{})
+			var users, troubles, ends sync.WaitGroup
+			ends.Go(func() {
+				since := map[string]time.Time{}
+				for {
+					for _, k := range w.workers {
+						for _, task := range k.Live() {
+							if at := since[task]; at.IsZero() {
+								since[task] = time.Now().Add(d.ms(1000, 15000))
+							} else if time.Now().After(at) {
+								k.End(task, "done")
+							}
+						}
+					}
+					select {
+					case <-over:
+						return
+					case <-w.ctx.Done():
+						return
+					case <-time.After(300 * time.Millisecond):
+					}
+				}
+			})
+			for i := range 2 {
+				troubles.Go(func() {
+					for range 6 {
+						time.Sleep(d.ms(0, 5000))
+						trouble(i)
+					}
+				})
+			}
+			var ids []string
+			for i := range 40 {
+				id := fmt.Sprintf("job-%d", i+1)
+				ids = append(ids, id)
+				s := spec(id, []string{"array", "array", "standing"}[i%3], 1+d.n(3))
+				s["spread"], s["together"] = i%4 == 1, i%4 == 2
+				if i%5 == 0 {
+					s["yard"] = "north"
+				}
+				users.Go(func() {
+					time.Sleep(time.Duration(i) * d.ms(1000, 2500))
+					w.insist(d, "POST", "/v2/runs", s)
+					if i%3 == 2 || d.n(3) == 0 {
+						time.Sleep(d.ms(0, 20000))
+						for code := 0; code != 200 && code != 404; {
+							code, _ = w.insist(d, "POST", "/v2/runs/"+id+"/cancel", nil)
+						}
+					}
+					w.closely(d, s)
+				})
+			}
+			troubles.Wait()
+			users.Wait()
+			// Whoever got no answer for a minute asks once more.
+			for i, id := range ids {
+				if i%3 == 2 {
+					w.insist(d, "POST", "/v2/runs/"+id+"/cancel", nil)
+				} else if code, _ := w.insist(d, "POST", "/v2/runs", spec(id, "array", 1)); code != 200 && code != 201 {
+					t.Errorf("a submission of %s got %d", id, code)
+				}
+			}
+			for i, id := range ids {
+				if i%3 != 2 {
+					w.agreed(90*time.Second, id)
+				} else if code, _ := w.call("a", "GET", "/v2/runs/"+id, nil); code == 200 {
+					w.agreed(90*time.Second, id)
+				}
+			}
+			w.hold(45*time.Second, "", func() bool { return true })
+			close(over)
+			ends.Wait()
+		})
+	}
+}
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -66,6 +66,7 @@
 	changed chan struct{}
 	raised  time.Time // when a higher token last counted as a change
 	hung    chan struct{}
+	lapsed  bool // its lease ended while it hung
 	held    []func()
 }
 
@@ -125,34 +126,34 @@
 		w.mu.Lock()
 		w.checkLease()
 		d := time.Until(w.lapse) + 1
-		hung := w.hung
 		w.mu.Unlock()
-		if hung != nil {
-			select {
-			case <-hung:
-			case <-ctx.Done():
-			}
-			continue
-		}
 		select {
-		case <-time.After(max(d, 1)):
+		case <-time.After(min(max(d, 1), w.Lease)):
 		case <-ctx.Done():
 		}
 	}
 }
 
+// checkLease ends the session once the lease has lapsed. A machine that hangs by
+// then does not come back to its tasks: it ends them before anything else when it
+// goes on, so they count as gone from the lapse on. Its next session begins then.
 func (w *Worker) checkLease() {
-	if w.hung == nil && time.Now().After(w.lapse) {
-		for _, k := range w.order {
-			if p := w.pieces[k]; p != nil && p.Status != "ended" {
-				w.tell(p, time.Time{}, false, "killed")
-			}
+	if !time.Now().After(w.lapse) {
+		return
+	}
+	for _, k := range w.order {
+		if p := w.pieces[k]; p != nil && p.Status != "ended" {
+			w.tell(p, time.Time{}, false, "killed")
 		}
-		w.session++
-		w.pieces, w.order = map[string]*Piece{}, nil
-		w.lapse = time.Now().Add(w.Lease)
-		w.change()
 	}
+	w.session++
+	w.pieces, w.order = map[string]*Piece{}, nil
+	w.lapse = time.Now().Add(w.Lease)
+	if w.hung != nil {
+		w.lapse = time.Now().Add(1000 * time.Hour) // renewed when it goes on
+		w.lapsed = true
+	}
+	w.change()
 }
 
 // SetHung stops the machine: it executes nothing, its tasks do not end, and what
@@ -168,9 +169,12 @@
 		w.hung = make(chan struct{})
 		return
 	}
+	w.checkLease()
 	close(w.hung)
 	w.hung = nil
-	w.checkLease()
+	if w.lapsed {
+		w.lapsed, w.lapse = false, time.Now().Add(w.Lease)
+	}
 	for _, f := range w.held {
 		f()
 	}
