Red: an owner cut off from its peers sends a start after the user was told of the cancel

The marker's answer is slow; meanwhile the other node reads the marker, stores the cancel and tells the user. Committer.Step counts the marker as stored and the dispatcher sends the start without a look at the job's newer record, which the copy of the live records may show only 400 ms later.

--- /dev/null
+++ b/internal/claim/cancel_start_test.go
@@ -0,0 +1,48 @@
+package claim_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/fake"
+)
+
+func TestAnOwnerCutOffFromItsPeersHearsOfACancelBeforeItSendsAStart(t *testing.T) {
+	// Guards against a start sent after the user was told that the job is cancelled: the
+	// marker is stored and its answer takes a while; meanwhile the other node reads it,
+	// stores the cancel and tells the user, but can't tell the owner.
+	story(t, func(t *testing.T, w *world) {
+		a := w.start("a")
+		w.until(5*time.Second, "a owns the pool", func() bool { return a.pool.Book() != nil })
+		w.start("b")
+		w.worker("m1", "north")
+		time.Sleep(10 * time.Second)
+		w.net.Delay = func() time.Duration { return 390 * time.Millisecond }
+		w.net.SetRule(func(from, to string, r *http.Request, body []byte) fake.Fate {
+			switch {
+			case touches(from, to, "a", "b"):
+				return fake.Refuse
+			case kind(r, body) == "marker":
+				return fake.SlowAnswer
+			}
+			return fake.Deliver
+		})
+		for i := range 16 { // at different moments of the owner's reading of the news
+			id := fmt.Sprintf("job-%d", i+1)
+			time.Sleep(3*time.Second + time.Duration(i)*25*time.Millisecond)
+			w.submit("a", spec(id, "array", 1))
+			time.Sleep(50 * time.Millisecond) // the marker is stored
+			if code, out := w.call("b", "POST", "/v2/runs/"+id+"/cancel", nil); code != 200 || out["status"] != "cancelled" {
+				t.Fatalf("cancel answered %d %v", code, out)
+			}
+			time.Sleep(time.Second) // no user asks the owner, who would read the news for him
+			if n := w.worn("m1").Started(id + "/0"); n > 0 {
+				t.Errorf("%s was started after its user was told", id)
+			}
+		}
+		w.net.SetRule(nil)
+		w.hold(45*time.Second, "all gone", func() bool { return true })
+	})
+}
