--- /dev/null
+++ b/internal/claim/meetings_test.go
@@ -0,0 +1,722 @@
+package claim_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/fake"
+)
+
+// Stories in which two troubles meet. Each is watched by a judge, who knows by
+// himself what the users were told and what is really on the machines.
+
+// judge checks the rules of the protocol all along a story.
+type judge struct {
+	*world
+	mu        sync.Mutex
+	specs     map[string]map[string]any
+	finished  map[string]bool      // tasks that completed
+	cancelled map[string]time.Time // jobs whose user was told so
+	told      map[string]string    // final states that users were told
+	first     map[string]time.Time // when a task was first seen on a machine
+	beats     map[string][][]byte  // every report of a worker, by its name
+}
+
+// meeting is a story watched by a judge. Users ask at all nodes all along.
+func meeting(t *testing.T, f func(t *testing.T, g *judge)) {
+	story(t, func(t *testing.T, w *world) {
+		g := &judge{world: w, specs: map[string]map[string]any{}, finished: map[string]bool{}, cancelled: map[string]time.Time{},
+			told: map[string]string{}, first: map[string]time.Time{}, beats: map[string][][]byte{}}
+		w.listed = true
+		g.trouble(nil)
+		w.start("a")
+		w.start("b")
+		// The users stop before the nodes do, so that no call is left under way.
+		users, stop := context.WithCancel(w.ctx)
+		defer func() { stop(); time.Sleep(6 * time.Second) }()
+		for _, node := range []string{"a", "b"} {
+			go func() {
+				for users.Err() == nil {
+					g.poll(node)
+					g.rest(500 * time.Millisecond)
+				}
+			}()
+		}
+		f(t, g)
+	})
+}
+
+// rest sleeps, at most until the story ends.
+func (g *judge) rest(d time.Duration) {
+	select {
+	case <-g.ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// trouble sets the network's rule, and records the workers' reports beside it.
+func (g *judge) trouble(rule func(from, to string, r *http.Request, body []byte) fake.Fate) {
+	g.net.SetRule(func(from, to string, r *http.Request, body []byte) fake.Fate {
+		if name, _, ok := strings.Cut(from, ":"); ok && r.URL.Path == "/agent/beat" && name != "late" {
+			g.mu.Lock()
+			g.beats[name] = append(g.beats[name], bytes.Clone(body))
+			g.mu.Unlock()
+		}
+		if rule == nil {
+			return fake.Deliver
+		}
+		return rule(from, to, r, body)
+	})
+}
+
+// apart cuts machines off: how is unreachable by refusal, silence or holding back,
+// deaf (only their reports arrive) or mute (only direct commands do).
+func (g *judge) apart(how string, machines ...string) {
+	g.trouble(func(from, to string, _ *http.Request, _ []byte) fake.Fate {
+		for _, m := range machines {
+			out, in := strings.HasPrefix(from, m+":"), strings.HasPrefix(to, m+":")
+			switch {
+			case !out && !in:
+			case how == "refused" || how == "mute" && out:
+				return fake.Refuse
+			case how == "swallowed" || how == "deaf" && in:
+				return fake.Swallow
+			case how == "held":
+				return fake.Hold
+			case how == "deaf" && out:
+				return fake.LoseAnswer
+			}
+		}
+		return fake.Deliver
+	})
+}
+
+// mended ends all troubles of the network; what was held back arrives.
+func (g *judge) mended() {
+	g.trouble(nil)
+	g.net.Release()
+}
+
+// replay delivers a copy of a report to every controller.
+func (g *judge) replay(report []byte) {
+	for _, node := range []string{"a", "b"} {
+		req, _ := http.NewRequestWithContext(g.ctx, "POST", "http://"+node+":8080/agent/beat", bytes.NewReader(report))
+		if res, err := g.net.Client("late:1").Do(req); err == nil {
+			res.Body.Close()
+		}
+	}
+}
+
+func (g *judge) lastBeat(worker string) []byte {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.beats[worker][len(g.beats[worker])-1]
+}
+
+func (g *judge) order(node string, s map[string]any) {
+	g.t.Helper()
+	g.until(20*time.Second, "accepted", func() bool {
+		code, _ := g.call(node, "POST", "/v2/runs", s)
+		return code == 200 || code == 201
+	})
+	g.mu.Lock()
+	g.specs[s["uid"].(string)] = s
+	g.mu.Unlock()
+}
+
+func (g *judge) callOff(node, id string) {
+	g.t.Helper()
+	g.until(20*time.Second, "called off", func() bool {
+		code, out := g.call(node, "POST", "/v2/runs/"+id+"/cancel", nil)
+		return code == 200 && out["status"] == "cancelled"
+	})
+	g.mu.Lock()
+	g.cancelled[id], g.told[id] = time.Now(), "cancelled"
+	g.mu.Unlock()
+}
+
+// poll is users asking one node for all jobs.
+func (g *judge) poll(node string) {
+	g.mu.Lock()
+	ids := make([]string, 0, len(g.specs))
+	for id := range g.specs {
+		ids = append(ids, id)
+	}
+	g.mu.Unlock()
+	for _, id := range ids {
+		g.mu.Lock()
+		before := g.told[id]
+		g.mu.Unlock()
+		code, out := g.call(node, "GET", "/v2/runs/"+id, nil)
+		got, _ := out["status"].(string)
+		g.mu.Lock()
+		switch {
+		case code == 404:
+			g.t.Errorf("forgotten: %s calls %s unknown", node, id)
+		case code != 200:
+		case before != "" && got != before:
+			g.t.Errorf("went_back: %s, once called %s, is called %s by %s", id, before, got, node)
+		case got == "cancelled" && g.told[id] != "cancelled":
+			// Its cancellation may be answered only after this.
+		case got == "done":
+			for i := range g.specs[id]["pieces"].(int) {
+				if task := fmt.Sprintf("%s/%d", id, i); !g.finished[task] {
+					g.t.Errorf("not_done: %s is called done without %s", id, task)
+				}
+			}
+			g.told[id] = "done"
+		}
+		g.mu.Unlock()
+	}
+}
+
+// look checks what is really on the machines now.
+func (g *judge) look() {
+	g.t.Helper()
+	g.never()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	cores := 0.0
+	for _, k := range g.workers {
+		for _, task := range k.Live() {
+			id, _, _ := strings.Cut(task, "/")
+			s := g.specs[id]
+			if s == nil {
+				continue // its submission is being answered
+			}
+			if g.first[task].IsZero() {
+				g.first[task] = time.Now()
+			}
+			switch n := s["cores"].(type) {
+			case int:
+				cores += float64(n)
+			case float64:
+				cores += n
+			}
+			if y, ok := s["yard"].(string); ok && y != k.Zone {
+				g.t.Fatalf("wrong_place: %s of zone %s is on %s in %s", task, y, k.Name, k.Zone)
+			}
+			if at := g.cancelled[id]; !at.IsZero() && time.Since(at) > 40*time.Second {
+				g.t.Fatalf("ran_cancelled: %s is on %s %v after that", task, k.Name, time.Since(at))
+			}
+		}
+	}
+	if cores > 8 {
+		g.t.Fatalf("quota: %v cores of 8 are in use", cores)
+	}
+}
+
+func (g *judge) until(d time.Duration, what string, f func() bool) {
+	g.t.Helper()
+	for end := time.Now().Add(d); !f(); g.look() {
+		if time.Now().After(end) {
+			g.t.Fatalf("not within %v: %s; store: %s", d, what, g.store)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// pass lets time go by.
+func (g *judge) pass(d time.Duration) {
+	g.t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); g.look() {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// finish completes a task where it is.
+func (g *judge) finish(task string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, k := range g.workers {
+		if k.End(task, "done") {
+			g.finished[task] = true
+			return true
+		}
+	}
+	return false
+}
+
+// toTheEnd completes all that runs until the jobs are done.
+func (g *judge) toTheEnd(jobs ...string) {
+	g.t.Helper()
+	for _, id := range jobs {
+		g.until(120*time.Second, id+" is done", func() bool {
+			for _, k := range g.workers {
+				for _, task := range k.Live() {
+					g.finish(task)
+				}
+			}
+			return g.status("a", id) == "done" && g.status("b", id) == "done"
+		})
+	}
+}
+
+// lead waits until a node leads, and names it.
+func (g *judge) lead() *node {
+	g.t.Helper()
+	g.until(20*time.Second, "a leader", func() bool { return g.owner() != nil })
+	return g.owner()
+}
+
+// runs tells whether the first n tasks of a job are on machines.
+func (g *judge) runs(id string, n int) func() bool {
+	return func() bool { return g.everywhere(id, n) }
+}
+
+// sized is a spec with tasks of so many cores.
+func sized(id, shape string, tasks int, cores float64) map[string]any {
+	s := spec(id, shape, tasks)
+	s["cores"] = cores
+	return s
+}
+
+func TestTheLeaderEndsWhileMachinesAreApart(t *testing.T) {
+	// Guards against long tasks started anew while they go on where nobody asks or
+	// is heard, and against losing those that ended with their leases. A team is at
+	// its limit, a job is called off meanwhile, and another waits for its room.
+	for _, how := range []string{"refused", "swallowed", "held", "deaf", "mute"} {
+		for _, cut := range [][]string{{"m1"}, {"m2", "m3"}, {"m1", "m2", "m3"}} {
+			t.Run(how+fmt.Sprint(len(cut)), func(t *testing.T) {
+				meeting(t, func(t *testing.T, g *judge) {
+					for i, zone := range []string{"north", "south", "south"} {
+						g.worker(fmt.Sprintf("m%d", i+1), zone)
+					}
+					time.Sleep(10 * time.Second)
+					g.order("a", spec("job-1", "array", 4))
+					g.order("b", spec("job-2", "standing", 4))
+					g.until(6*time.Second, "they run", func() bool { return g.everywhere("job-1", 4) && g.everywhere("job-2", 4) })
+					g.pass(5 * time.Second)
+					old := g.lead()
+					other := map[string]string{"a": "b", "b": "a"}[old.name]
+					g.apart(how, cut...)
+					g.pass(time.Second)
+					old.kill()
+					g.pass(2 * time.Second)
+					g.start(old.name)
+					g.order(other, spec("job-3", "array", 4))
+					g.pass(2 * time.Second)
+					g.callOff(other, "job-2")
+					g.pass(45 * time.Second)
+					g.mended()
+					g.pass(5 * time.Second)
+					g.toTheEnd("job-1", "job-3")
+				})
+			})
+		}
+	}
+}
+
+func TestOldReportsReachEveryControllerAsALeaderBegins(t *testing.T) {
+	// Guards against a new leader that takes an old report, the first it hears of a
+	// machine, for what is there now: while the machine can't be asked, and while it
+	// can.
+	for _, what := range []string{"shows what runs elsewhere", "shows nothing", "of an earlier session", "shows what is done"} {
+		for _, how := range []string{"", "refused", "held", "deaf"} {
+			t.Run(what+how, func(t *testing.T) {
+				meeting(t, func(t *testing.T, g *judge) {
+					m1 := g.worker("m1", "north")
+					time.Sleep(10 * time.Second)
+					empty := g.lastBeat("m1")
+					g.order("a", spec("job-1", "array", 3))
+					g.until(5*time.Second, "it runs", g.runs("job-1", 3))
+					g.pass(5 * time.Second)
+					old := g.lastBeat("m1")
+					switch what {
+					case "shows nothing":
+						old = empty
+					case "shows what runs elsewhere":
+						g.worker("m2", "south")
+						g.pass(5 * time.Second)
+						m1.End("job-1/0", "error")
+						g.until(20*time.Second, "it runs elsewhere", func() bool { return g.worn("m2").Started("job-1/0") == 1 })
+					case "of an earlier session":
+						m1.SetSilent(true)
+						g.pass(25 * time.Second)
+						m1.SetSilent(false)
+						g.until(20*time.Second, "it runs again", g.runs("job-1", 3))
+					case "shows what is done":
+						g.finish("job-1/0")
+					}
+					g.pass(8 * time.Second)
+					first := g.lead()
+					first.kill()
+					if how != "" {
+						g.apart(how, "m1")
+					}
+					if g.worn("m2") == nil {
+						g.worker("m2", "south")
+					}
+					g.lead()
+					g.replay(old)
+					g.start(first.name)
+					g.pass(3 * time.Second)
+					g.replay(old)
+					g.order("a", spec("job-2", "array", 5))
+					g.pass(6 * time.Second)
+					g.mended()
+					g.pass(3 * time.Second)
+					g.replay(old)
+					g.pass(25 * time.Second)
+					g.toTheEnd("job-1", "job-2")
+				})
+			})
+		}
+	}
+}
+
+func TestTheLimitHoldsWhileCancelledWorkCantBeReached(t *testing.T) {
+	// Guards against giving away the room of cancelled jobs before their tasks are
+	// gone: the team is at its limit, machines hang or can't be asked, and the
+	// leader changes before or after the cancellations.
+	for _, how := range []string{"refused", "swallowed", "held", "deaf", "mute"} {
+		for _, after := range []bool{false, true} {
+			t.Run(fmt.Sprint(how, after), func(t *testing.T) {
+				meeting(t, func(t *testing.T, g *judge) {
+					for i, zone := range []string{"north", "south", "north", "south"} {
+						g.worker(fmt.Sprintf("m%d", i+1), zone)
+					}
+					time.Sleep(10 * time.Second)
+					for i := range 4 {
+						g.order("a", sized(fmt.Sprintf("job-%d", i+1), "standing", 1, 2))
+						g.until(5*time.Second, "it runs", g.runs(fmt.Sprintf("job-%d", i+1), 1))
+					}
+					var cut []string
+					for _, id := range []string{"job-1/0", "job-3/0", "job-4/0"} {
+						cut = append(cut, g.on(id)...)
+					}
+					g.order("b", sized("job-5", "array", 6, 2))
+					g.pass(4 * time.Second)
+					g.apart(how, cut...)
+					g.pass(500 * time.Millisecond)
+					first := g.lead()
+					change := func() {
+						first.kill()
+						g.pass(time.Second)
+						g.start(first.name)
+					}
+					if !after {
+						change()
+					}
+					for i, id := range []string{"job-1", "job-3", "job-4"} {
+						g.callOff([]string{"a", "b"}[i%2], id)
+					}
+					if after {
+						change()
+					}
+					g.pass(45 * time.Second)
+					g.mended()
+					g.pass(3 * time.Second)
+					if len(g.on("job-2/0")) != 1 {
+						t.Error("job-2, which nobody called off, is gone")
+					}
+					g.callOff("a", "job-2")
+					g.toTheEnd("job-5")
+				})
+			})
+		}
+	}
+}
+
+func TestNewMachinesGetWorkWhileWritesLagAndTheLeaderEnds(t *testing.T) {
+	// Guards against a successor that knows neither of machines which nobody has
+	// listed yet nor of what was claimed there by writes without an answer.
+	for _, fate := range []fake.Fate{fake.LoseAnswer, fake.Hold, fake.Swallow, fake.Copy} {
+		for _, starts := range []fake.Fate{fake.Deliver, fake.Hold, fake.LoseAnswer} {
+			t.Run(fmt.Sprint(fate, starts), func(t *testing.T) {
+				meeting(t, func(t *testing.T, g *judge) {
+					g.listed = false
+					time.Sleep(10 * time.Second)
+					first := g.lead()
+					other := map[string]string{"a": "b", "b": "a"}[first.name]
+					n := 0
+					var mu sync.Mutex
+					g.trouble(func(from, to string, r *http.Request, body []byte) fake.Fate {
+						mu.Lock()
+						defer mu.Unlock()
+						switch {
+						case r.URL.Path == "/commands" && strings.Contains(string(body), `"verb":"start"`):
+							return starts
+						case from == first.name && r.URL.Path == "/commit" && strings.Contains(string(body), `"places"`):
+							if n++; n > 2 { // the first claims get through
+								return fate
+							}
+						}
+						return fake.Deliver
+					})
+					for i := range 4 {
+						g.worker(fmt.Sprintf("m%d", i+1), []string{"north", "south"}[i%2])
+					}
+					for i := range 6 {
+						g.order(other, sized(fmt.Sprintf("job-%d", i+1), "array", 1, 2))
+					}
+					g.pass(1500 * time.Millisecond)
+					first.kill()
+					g.pass(time.Second)
+					g.start(first.name)
+					g.pass(5 * time.Second)
+					g.mended()
+					g.pass(30 * time.Second)
+					g.toTheEnd("job-1", "job-2", "job-3", "job-4", "job-5", "job-6")
+				})
+			})
+		}
+	}
+}
+
+func TestTasksThatEndFarApartAcrossAChangeOfLeader(t *testing.T) {
+	// Guards against a job called done before its last task, and against done tasks
+	// run again: the leader ends before, while and after an end is stored, and old
+	// reports show the tasks still running.
+	for _, shape := range []int{2, 3} {
+		for _, lag := range []time.Duration{0, 300 * time.Millisecond, 2 * time.Second, 6 * time.Second} {
+			t.Run(fmt.Sprint(shape, lag), func(t *testing.T) {
+				meeting(t, func(t *testing.T, g *judge) {
+					g.worker("m1", "north")
+					g.worker("m2", "south")
+					time.Sleep(10 * time.Second)
+					g.order("a", sized("job-1", "array", shape, 2))
+					g.until(5*time.Second, "it runs", g.runs("job-1", shape))
+					g.pass(5 * time.Second)
+					var tasks []string
+					for i := range shape {
+						tasks = append(tasks, fmt.Sprintf("job-1/%d", i))
+					}
+					for _, task := range tasks {
+						old := g.lastBeat(g.on(task)[0])
+						g.finish(task)
+						g.pass(lag)
+						first := g.lead()
+						first.kill()
+						g.pass(400 * time.Millisecond)
+						g.start(first.name)
+						g.lead()
+						g.replay(old)
+						g.pass(25 * time.Second)
+					}
+					g.until(5*time.Second, "done", func() bool { return g.status("a", "job-1") == "done" && g.status("b", "job-1") == "done" })
+					g.once(tasks...)
+				})
+			})
+		}
+	}
+}
+
+func TestCommandsAndAnswersHeldUpForSeconds(t *testing.T) {
+	// Guards against a start or stop, or only its answer, that takes effect or is
+	// known seconds later: the job is called off meanwhile, or the leader ends, and
+	// the beats of the machine get through or don't.
+	for _, fate := range []fake.Fate{fake.Hold, fake.LoseAnswer} {
+		for _, verb := range []string{"start", "stop"} {
+			for _, what := range []string{"called off", "leader ends", "both"} {
+				for _, mute := range []bool{false, true} {
+					t.Run(fmt.Sprint(fate, verb, what, mute), func(t *testing.T) {
+						meeting(t, func(t *testing.T, g *judge) {
+							g.worker("m1", "north")
+							g.worker("m2", "south")
+							time.Sleep(10300 * time.Millisecond) // between reports
+							g.trouble(func(from, to string, r *http.Request, body []byte) fake.Fate {
+								if r.URL.Path == "/commands" && strings.Contains(string(body), `"verb":"`+verb+`"`) {
+									return fate
+								}
+								if mute && r.URL.Path == "/agent/beat" {
+									return fake.Refuse
+								}
+								return fake.Deliver
+							})
+							g.order("a", sized("job-1", "array", 4, 2))
+							g.order("b", sized("job-2", "array", 4, 2))
+							g.pass(400 * time.Millisecond)
+							if what != "leader ends" {
+								g.callOff("b", "job-1")
+							}
+							if what != "called off" {
+								first := g.lead()
+								first.kill()
+								g.pass(200 * time.Millisecond)
+								g.start(first.name)
+							}
+							g.pass(5 * time.Second)
+							g.net.Release()
+							g.pass(3 * time.Second)
+							g.mended()
+							g.pass(40 * time.Second)
+							if what == "leader ends" {
+								g.toTheEnd("job-1")
+							}
+							g.toTheEnd("job-2")
+						})
+					})
+				}
+			}
+		}
+	}
+}
+
+func TestWorkBoundToOneZoneLosesMachines(t *testing.T) {
+	// Guards against tasks that go to another zone, where there is room, once their
+	// own has none or is dark; a new machine of the zone takes them.
+	for _, how := range []string{"refused", "held", "deaf"} {
+		for _, shape := range []string{"array", "standing", "gang"} {
+			t.Run(how+shape, func(t *testing.T) {
+				meeting(t, func(t *testing.T, g *judge) {
+					for i, zone := range []string{"north", "north", "south", "south"} {
+						g.worker(fmt.Sprintf("m%d", i+1), zone)
+					}
+					time.Sleep(10 * time.Second)
+					s := sized("job-1", shape, 4, 2)
+					s["yard"] = "north"
+					g.order("a", s)
+					g.until(6*time.Second, "it runs", g.runs("job-1", 4))
+					g.pass(4 * time.Second)
+					g.apart(how, "m1")
+					g.pass(2 * time.Second)
+					first := g.lead()
+					first.kill()
+					g.pass(time.Second)
+					g.start(first.name)
+					g.pass(20 * time.Second)
+					g.apart(how, "m1", "m2")
+					g.pass(40 * time.Second)
+					g.worker("m5", "north")
+					g.pass(20 * time.Second)
+					g.mended()
+					if shape == "gang" {
+						// One that lost a task ends as a whole.
+						for _, k := range g.workers {
+							for _, task := range k.Live() {
+								if len(k.Live()) < 4 {
+									k.End(task, "peers")
+								}
+							}
+						}
+					}
+					g.until(90*time.Second, "it runs in its zone", g.runs("job-1", 4))
+				})
+			})
+		}
+	}
+}
+
+func TestLeadersComeAndGo(t *testing.T) {
+	// Guards against what is lost or begun anew while leaders change ten times in
+	// two minutes, also inside an outage of the store, and while all are away.
+	for _, gap := range []time.Duration{50 * time.Millisecond, 900 * time.Millisecond, 5 * time.Second} {
+		for _, how := range []string{"one", "outage", "all", "away"} {
+			t.Run(fmt.Sprint(gap, how), func(t *testing.T) {
+				meeting(t, func(t *testing.T, g *judge) {
+					g.worker("m1", "north")
+					g.worker("m2", "south")
+					time.Sleep(10 * time.Second)
+					g.order("a", spec("job-1", "standing", 4))
+					g.order("b", spec("job-2", "array", 2))
+					g.until(6*time.Second, "they run", func() bool { return g.everywhere("job-1", 4) && g.everywhere("job-2", 2) })
+					g.order("a", spec("job-3", "array", 6)) // four wait
+					for i := range 10 {
+						if how == "outage" {
+							g.store.SetDown(i%5 >= 3)
+						}
+						var down []string
+						if n := g.owner(); n != nil && how != "all" {
+							n.kill()
+							down = append(down, n.name)
+						} else if how != "outage" {
+							for _, name := range []string{"a", "b"} {
+								if n := g.nodes[name]; n != nil {
+									n.kill()
+									down = append(down, name)
+								}
+							}
+						}
+						g.pass(gap)
+						if how == "away" && i == 5 {
+							for _, name := range []string{"a", "b"} {
+								if n := g.nodes[name]; n != nil {
+									n.kill()
+									down = append(down, name)
+								}
+							}
+							g.pass(25 * time.Second) // longer than the lease
+						}
+						for _, name := range down {
+							g.start(name)
+						}
+						g.pass(11 * time.Second)
+					}
+					g.store.SetDown(false)
+					g.until(60*time.Second, "replicas run", g.runs("job-1", 4))
+					if how == "one" && gap < time.Second {
+						g.once("job-1/0", "job-1/1", "job-1/2", "job-1/3", "job-2/0", "job-2/1")
+					}
+					g.callOff("a", "job-1")
+					g.toTheEnd("job-2", "job-3")
+				})
+			})
+		}
+	}
+}
+
+func TestMoreWorkThanRoomOverSlowLinks(t *testing.T) {
+	// Guards against work started twice, beyond the limit, or before urgent work
+	// that came later, while every call takes long; also if the leader ends.
+	for _, slow := range []time.Duration{100 * time.Millisecond, 350 * time.Millisecond} {
+		for _, ends := range []bool{false, true} {
+			t.Run(fmt.Sprint(slow, ends), func(t *testing.T) {
+				meeting(t, func(t *testing.T, g *judge) {
+					g.worker("m1", "north")
+					g.worker("m2", "south")
+					time.Sleep(10 * time.Second)
+					g.order("a", sized("job-1", "array", 4, 2))
+					g.until(6*time.Second, "it runs", g.runs("job-1", 4))
+					g.trouble(func(_, to string, r *http.Request, _ []byte) fake.Fate {
+						if to == "state:1" && r.URL.Path == "/commit" || strings.HasSuffix(to, ":9000") {
+							g.rest(slow)
+						}
+						return fake.Deliver
+					})
+					var late, urgent []string
+					for i := range 8 {
+						s := sized(fmt.Sprintf("job-%d", i+2), "array", 2, 2)
+						if i >= 6 {
+							s["urgency"] = "critical"
+							urgent = append(urgent, s["uid"].(string))
+						} else {
+							late = append(late, s["uid"].(string))
+						}
+						g.order([]string{"a", "b"}[i%2], s)
+					}
+					if ends {
+						first := g.lead()
+						first.kill()
+						g.pass(500 * time.Millisecond)
+						g.start(first.name)
+						g.lead()
+					}
+					g.pass(5 * time.Second)
+					g.toTheEnd(append(append([]string{"job-1"}, urgent...), late...)...)
+					last := time.Time{}
+					for _, id := range urgent {
+						for i := range 2 {
+							if at := g.first[fmt.Sprintf("%s/%d", id, i)]; at.After(last) {
+								last = at
+							}
+						}
+					}
+					for _, id := range late {
+						for i := range 2 {
+							if at := g.first[fmt.Sprintf("%s/%d", id, i)]; at.Before(last) {
+								t.Errorf("%s/%d began %v before the last urgent task", id, i, last.Sub(at))
+							}
+						}
+					}
+				})
+			})
+		}
+	}
+}
