--- a/internal/claim/meetings_test.go
+++ b/internal/claim/meetings_test.go
@@ -3,8 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -144,12 +148,9 @@
 // poll is users asking one node for all jobs.
 func (g *judge) poll(node string) {
 	g.mu.Lock()
-	ids := make([]string, 0, len(g.specs))
-	for id := range g.specs {
-		ids = append(ids, id)
-	}
+	jobs := slices.Sorted(maps.Keys(g.specs))
 	g.mu.Unlock()
-	for _, id := range ids {
+	for _, id := range jobs {
 		g.mu.Lock()
 		before := g.told[id]
 		g.mu.Unlock()
@@ -176,6 +177,48 @@
 	}
 }
 
+// on lists the machines that a task is on, each once: the stand-in names a task
+// twice that was started again after it was cleared.
+func (g *judge) on(task string) []string { return slices.Compact(g.world.on(task)) }
+
+func (g *judge) everywhere(job string, tasks int) bool {
+	for i := range tasks {
+		if len(g.on(fmt.Sprintf("%s/%d", job, i))) != 1 {
+			return false
+		}
+	}
+	return true
+}
+
+// never checks that no task is on two machines, or twice on one.
+func (g *judge) never() {
+	g.t.Helper()
+	seen := map[string]string{}
+	for _, k := range g.workers {
+		for _, task := range k.Live() {
+			if o := seen[task]; o != "" && (o != k.Name || len(attempts(k, task)) > 1) {
+				g.t.Fatalf("ran_twice: %s is on %s and on %s", task, o, k.Name)
+			}
+			seen[task] = k.Name
+		}
+	}
+}
+
+// attempts lists under which attempts a task is on a machine.
+func attempts(k *fake.Worker, task string) map[uint64]bool {
+	var rep struct{ Pieces []fake.Piece }
+	out := httptest.NewRecorder()
+	k.ServeHTTP(out, httptest.NewRequest("GET", "/show", nil))
+	json.NewDecoder(out.Body).Decode(&rep)
+	on := map[uint64]bool{}
+	for _, pc := range rep.Pieces {
+		if pc.Task == task && pc.Status != "ended" {
+			on[pc.Attempt] = true
+		}
+	}
+	return on
+}
+
 // look checks what is really on the machines now.
 func (g *judge) look() {
 	g.t.Helper()
@@ -184,7 +227,9 @@
 	defer g.mu.Unlock()
 	cores := 0.0
 	for _, k := range g.workers {
-		for _, task := range k.Live() {
+		live := k.Live()
+		slices.Sort(live)
+		for _, task := range slices.Compact(live) {
 			id, _, _ := strings.Cut(task, "/")
 			s := g.specs[id]
 			if s == nil {
@@ -213,10 +258,15 @@
 }
 
 func (g *judge) until(d time.Duration, what string, f func() bool) {
+	g.t.Helper()
+	g.within(d, func() string { return what }, f)
+}
+
+func (g *judge) within(d time.Duration, what func() string, f func() bool) {
 	g.t.Helper()
 	for end := time.Now().Add(d); !f(); g.look() {
 		if time.Now().After(end) {
-			g.t.Fatalf("not within %v: %s; store: %s", d, what, g.store)
+			g.t.Fatalf("not within %v: %s; store: %s", d, what(), g.store)
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
@@ -510,13 +560,16 @@
 
 func TestCommandsAndAnswersHeldUpForSeconds(t *testing.T) {
 	// Guards against a start or stop, or only its answer, that takes effect or is
-	// known seconds later: the job is called off meanwhile, or the leader ends, and
+	// known seconds later, or after cancel_s: the job is called off meanwhile, or the leader ends, and
 	// the beats of the machine get through or don't.
 	for _, fate := range []fake.Fate{fake.Hold, fake.LoseAnswer} {
 		for _, verb := range []string{"start", "stop"} {
 			for _, what := range []string{"called off", "leader ends", "both"} {
-				for _, mute := range []bool{false, true} {
-					t.Run(fmt.Sprint(fate, verb, what, mute), func(t *testing.T) {
+				for _, late := range []struct {
+					by   time.Duration
+					mute bool
+				}{{5 * time.Second, false}, {5 * time.Second, true}, {45 * time.Second, false}} {
+					t.Run(fmt.Sprint(fate, verb, what, late.by, late.mute), func(t *testing.T) {
 						meeting(t, func(t *testing.T, g *judge) {
 							g.worker("m1", "north")
 							g.worker("m2", "south")
@@ -525,7 +578,7 @@
 								if r.URL.Path == "/commands" && strings.Contains(string(body), `"verb":"`+verb+`"`) {
 									return fate
 								}
-								if mute && r.URL.Path == "/agent/beat" {
+								if late.mute && r.URL.Path == "/agent/beat" {
 									return fake.Refuse
 								}
 								return fake.Deliver
@@ -542,7 +595,7 @@
 								g.pass(200 * time.Millisecond)
 								g.start(first.name)
 							}
-							g.pass(5 * time.Second)
+							g.pass(late.by)
 							g.net.Release()
 							g.pass(3 * time.Second)
 							g.mended()
