Red: an old report of a gang's task replaced where it ended

A new leader takes the end that the report shows for the end of the task that waits there now under the same attempt, and starts it elsewhere.

--- a/internal/claim/meetings_test.go
+++ b/internal/claim/meetings_test.go
@@ -773,3 +773,71 @@
 		}
 	}
 }
+func TestAnOldReportOfAGangsTaskReplacedWhereItEnded(t *testing.T) {
+	// Guards against a new leader that takes the end of an earlier start, under the
+	// same attempt on the same machine, for the end of the one that waits there now:
+	// it would start the task elsewhere. Its session may have changed in between.
+	for _, session := range []bool{false, true} {
+		for _, how := range []string{"", "refused", "held", "deaf"} {
+			t.Run(fmt.Sprint(session, how), func(t *testing.T) {
+				meeting(t, func(t *testing.T, g *judge) {
+					g.worker("m1", "north")
+					g.worker("m2", "south")
+					time.Sleep(10 * time.Second)
+					g.order("a", sized("job-1", "gang", 2, 3))
+					waits := func() bool {
+						for _, k := range g.workers {
+							k.SetStatus("job-1/0", "waiting")
+							k.SetStatus("job-1/1", "waiting")
+						}
+						return g.everywhere("job-1", 2)
+					}
+					g.until(5*time.Second, "both tasks are there", waits)
+					g.pass(5 * time.Second)
+					at := g.worn(g.on("job-1/0")[0])
+					at.End("job-1/0", "no_room")
+					g.pass(100 * time.Millisecond)
+					time.Sleep(2 * time.Second)
+					var old []byte
+					g.mu.Lock()
+					for _, beat := range g.beats[at.Name] {
+						if strings.Contains(string(beat), `"no_room"`) {
+							old = beat
+						}
+					}
+					g.mu.Unlock()
+					if old == nil {
+						t.Fatal("no report shows the end")
+					}
+					g.until(10*time.Second, "it is replaced", waits)
+					if session {
+						at.SetSilent(true)
+						g.until(25*time.Second, "its lease lapsed", func() bool { return len(g.on("job-1/0")) == 0 })
+						at.SetSilent(false)
+						g.until(15*time.Second, "it is replaced again", waits)
+					}
+					if g.on("job-1/0")[0] != at.Name || strings.TrimSuffix(at.Starts[len(at.Starts)-1], "#1") == at.Starts[len(at.Starts)-1] {
+						t.Fatalf("not replaced there under the same attempt: %v on %v", at.Starts, g.on("job-1/0"))
+					}
+					g.pass(3 * time.Second)
+					first := g.lead()
+					first.kill()
+					g.worker("m3", "south")
+					if how != "" {
+						g.apart(how, at.Name)
+					}
+					g.lead()
+					g.replay(old)
+					g.start(first.name)
+					g.pass(8 * time.Second)
+					g.mended()
+					g.pass(25 * time.Second)
+					if !g.everywhere("job-1", 2) {
+						t.Errorf("its tasks are on %v and %v", g.on("job-1/0"), g.on("job-1/1"))
+					}
+				})
+			})
+		}
+	}
+}
+
