Red: urgent work begins where its team is at its limit

Room of the limit from which lesser work makes way is given to lesser work again in the same planning pass: neither the urgent job nor the rest starts.

--- a/internal/claim/meetings_test.go
+++ b/internal/claim/meetings_test.go
@@ -841,3 +841,45 @@
 	}
 }
 
+func TestUrgentWorkBeginsWhereItsTeamIsAtItsLimit(t *testing.T) {
+	// Guards against room of a team's limit, from which lesser work of its own made
+	// way, being given to lesser work again at once: the urgent job, and a gang as
+	// large as the limit above all, never began, and the rest was stopped, or dropped
+	// before its starts went out, again and again, so that nothing of the team ran.
+	for _, shape := range []string{"gang", "array"} {
+		for _, urgency := range []string{"high", "critical"} {
+			for _, slow := range []time.Duration{0, 60 * time.Millisecond, 200 * time.Millisecond} {
+				for _, after := range []time.Duration{0, 5 * time.Second} {
+					t.Run(fmt.Sprint(shape, urgency, slow, after), func(t *testing.T) {
+						meeting(t, func(t *testing.T, g *judge) {
+							for i, zone := range []string{"north", "south", "south"} {
+								g.worker(fmt.Sprintf("m%d", i+1), zone)
+							}
+							time.Sleep(10 * time.Second)
+							g.trouble(func(_, to string, r *http.Request, body []byte) fake.Fate {
+								if r.URL.Path == "/commit" && strings.Contains(string(body), `"places"`) || to == "m2:9000" {
+									g.rest(slow)
+								}
+								return fake.Deliver
+							})
+							for i, u := range []string{"low", "normal"} {
+								s := spec(fmt.Sprintf("job-%d", i+1), "array", 12)
+								s["urgency"] = u
+								g.order("a", s)
+							}
+							g.pass(after)
+							s := sized("job-3", shape, 4, 2)
+							s["urgency"] = urgency
+							g.order("b", s)
+							g.until(60*time.Second, "the urgent job runs", g.runs("job-3", 4))
+							for i := range 4 {
+								g.finish(fmt.Sprintf("job-3/%d", i))
+							}
+							g.toTheEnd("job-3", "job-2", "job-1")
+						})
+					})
+				}
+			}
+		}
+	}
+}
