What makes way for urgent work at a team's limit is left to it

What a job waits for is owed to it, for two seconds from when it was last found waiting; lesser work of its team claims only beside that.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -155,6 +155,7 @@
 	size         atomic.Int64         // machines, as last counted
 	dark         map[string]bool      // zones of which nothing was heard at the last look
 	boots        map[string]*boots    // by type
+	owed         map[string]owing     // by team
 
 	// Storing tells whether the state service has answered just now. While it
 	// does not, nothing that is stopped could be started again, so nothing is
@@ -189,6 +190,7 @@
 		returned:     map[ids.Machine]bool{},
 		dark:         map[string]bool{},
 		boots:        map[string]*boots{},
+		owed:         map[string]owing{},
 		Storing:      func() bool { return true },
 		Starting:     func() bool { return true },
 		wakeCommit:   make(chan struct{}, 1), wakePlan: make(chan struct{}, 1),
--- a/internal/claim/gang.go
+++ b/internal/claim/gang.go
@@ -40,7 +40,7 @@
 			return
 		}
 	}
-	if b.quota(s, missing) < missing {
+	if b.mayHave(j, missing, now) < missing {
 		j.waiting = "team " + s.Team + " is at its limit"
 		if b.yield(j, missing, now) {
 			j.waiting += "; lesser work of its own makes way"
--- a/internal/claim/preempt.go
+++ b/internal/claim/preempt.go
@@ -265,6 +265,26 @@
 	return out, loss, free.Holds(ask.Need)
 }
 
+// owing is room of a team's limit that lesser work of its own leaves to a job that
+// waits for it: given to lesser work again as it frees up, the job would never begin.
+type owing struct {
+	job   *Job
+	need  placement.Room
+	until time.Time
+}
+
+// owedFor is how long that holds unless the job is found waiting again.
+const owedFor = 2 * time.Second
+
+// withheld is what a job must leave of its team's limit to one that goes first.
+func (b *Book) withheld(j *Job, now time.Time) placement.Room {
+	o, ok := b.owed[j.Rec.Spec.Team]
+	if !ok || o.job == j || !o.until.After(now) || !o.job.claimable() || j.Rec.Spec.Priority >= o.job.Rec.Spec.Priority {
+		return placement.Room{}
+	}
+	return o.need
+}
+
 // yield stops lesser work of a job's own team when the team's limit is all
 // that keeps high or critical tasks from starting. What is being stopped
 // already counts as making way.
@@ -284,8 +304,19 @@
 		over.Accels = 0
 	}
 	var victims []*Place
+	left := placement.Room{Cores: t.CPUsMax, Accels: t.GPUsMax, RAM: 1e12}
+	if t.CPUsMax == 0 {
+		left.Cores = 1e12
+	}
+	if t.GPUsMax == 0 {
+		left.Accels = 1e12
+	}
 	for _, o := range b.jobs {
-		if o.Rec.Spec.Team != s.Team || o.Rec.Spec.Priority >= s.Priority {
+		if o.Rec.Spec.Team != s.Team {
+			continue
+		}
+		if o.Rec.Spec.Priority >= s.Priority {
+			left = left.Minus(o.Rec.Spec.Need.Times(float64(len(o.places))))
 			continue
 		}
 		for _, p := range o.places {
@@ -296,6 +327,9 @@
 			}
 		}
 	}
+	if k := left.Count(s.Need, n); k > 0 && (k == n || s.Shape != Gang) {
+		b.owed[s.Team] = owing{job: j, need: s.Need.Times(float64(k)), until: now.Add(owedFor)}
+	}
 	sort.Slice(victims, func(x, y int) bool {
 		a, z := victims[x], victims[y]
 		if pa, pz := a.Job.Rec.Spec.Priority, z.Job.Rec.Spec.Priority; pa != pz {
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -195,12 +195,19 @@
 }
 
 // quota is how many more tasks of a job its team's limits allow.
-func (b *Book) quota(s *Spec, want int) int {
+func (b *Book) quota(s *Spec, want int) int { return b.quotaBeside(s, placement.Room{}, want) }
+
+// mayHave is the same less what is owed to a job that goes first.
+func (b *Book) mayHave(j *Job, want int, now time.Time) int {
+	return b.quotaBeside(&j.Rec.Spec, b.withheld(j, now), want)
+}
+
+func (b *Book) quotaBeside(s *Spec, other placement.Room, want int) int {
 	t, ok := b.set.Team(s.Team)
 	if !ok {
 		return 0
 	}
-	used := b.teams[s.Team]
+	used := b.teams[s.Team].Plus(other)
 	room := placement.Room{Cores: 1e12, Accels: 1e12, RAM: 1e12}
 	if t.CPUsMax > 0 {
 		room.Cores = t.CPUsMax - used.Cores
@@ -272,7 +279,7 @@
 		j.waiting = j.whyRests()
 		return
 	}
-	quota, open := b.quota(s, pending), b.openLimit(j)-len(j.places)
+	quota, open := b.mayHave(j, pending, now), b.openLimit(j)-len(j.places)
 	may := min(pending, quota, open)
 	if j.failing() {
 		may = min(may, 1)
