--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -103,6 +103,9 @@
 			// What is listed before a start went out is left from an earlier start
 			// of the same attempt there, whose outcome is known.
 			if p := j.places[t.Index]; p != nil && p.Machine == m.Name && p.Attempt == pc.Attempt && p.sent {
+				if p.Session != rep.Session {
+					continue // of an earlier session, and so of an earlier start
+				}
 				if pc.Status == worker.Ended {
 					b.settle(p, pc, m)
 				} else {
