No start goes out on a commit's answer that came late; the owner hears of a cancel first

After an answer that took over 150 ms starts wait for a read of the records that began after it. A node that confirms the cancellation of claimed work tells the owner first, for at most 0.2 s. A commit's answer no longer hides the stamp of a cancel learned meanwhile.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -65,6 +65,7 @@
 	// version counts changes here; saved is the newest the store surely has.
 	version, saved uint64
 	settled        map[taskAttempt]uint64 // outcome -> version that holds it
+	reread         time.Time              // its starts wait for a read of the records that began after this
 	ended          bool                   // its final record is stored
 	known          time.Time
 	waiting        string // why tasks wait now
@@ -161,10 +162,10 @@
 	// does not, nothing that is stopped could be started again, so nothing is
 	// stopped that could go on.
 	Storing func() bool
-	// Starting tells whether starts may go out: not once another node may have
-	// confirmed, unknown to this one, that a job is cancelled. It is asked outside
-	// the book's lock.
-	Starting func() bool
+	// Starting tells whether starts may go out, and of when what was read of the
+	// records is: another node may have confirmed since, unknown to this one, that a
+	// job is cancelled. It is asked outside the book's lock.
+	Starting func() (ok bool, read time.Time)
 
 	wakeCommit, wakePlan chan struct{}
 }
@@ -192,7 +193,7 @@
 		boots:        map[string]*boots{},
 		owed:         map[string]owing{},
 		Storing:      func() bool { return true },
-		Starting:     func() bool { return true },
+		Starting:     func() (bool, time.Time) { return true, time.Now() },
 		wakeCommit:   make(chan struct{}, 1), wakePlan: make(chan struct{}, 1),
 	}
 }
--- a/internal/claim/commit.go
+++ b/internal/claim/commit.go
@@ -96,8 +96,12 @@
 	var conflict *state.Conflict
 	switch {
 	case err == nil:
+		answered := time.Now()
 		b.mu.Lock()
 		for _, p := range group {
+			if answered.Sub(began) > slowAnswer {
+				p.job.reread = answered
+			}
 			b.stored(p, ids.Stamp(epoch))
 		}
 		b.mu.Unlock()
@@ -126,6 +130,11 @@
 	}
 }
 
+// slowAnswer is the time of a commit after which its answer alone does not let starts
+// go out: it tells of when the commit was carried out, and users may have cancelled
+// the job through another node since. The next read of the records tells.
+const slowAnswer = 150 * time.Millisecond
+
 // settleEvery is how long outcomes of unfinished jobs may wait for one another
 // before they are stored. Nothing is lost by that: until stored they are not
 // cleared, so the next owner would learn them from the workers again; and what
@@ -231,7 +240,7 @@
 // stored takes in that a version is in the store.
 func (b *Book) stored(p pending, stamp ids.Stamp) {
 	j := p.job
-	j.stamp = stamp
+	j.stamp = max(j.stamp, stamp) // a cancel may be known that was stored after it
 	j.saved = max(j.saved, p.version)
 	b.settledUpTo(j)
 	if p.over {
@@ -333,6 +342,7 @@
 			}
 			b.mu.Lock()
 			if rec.Writer == b.writer {
+				p.job.reread = time.Now()
 				p.job.stamp = live.Stamp
 				p.job.saved = max(p.job.saved, min(rec.Seq, p.job.version))
 				b.settledUpTo(p.job)
--- a/internal/claim/dispatch.go
+++ b/internal/claim/dispatch.go
@@ -33,7 +33,7 @@
 // unanswered none at all: hundreds of silent machines must not keep living ones
 // waiting. Its next beat, or its answer to a question, gets what it is owed.
 func (b *Book) batches(free int) []batch {
-	starting := b.Starting()
+	starting, read := b.Starting()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.lost {
@@ -72,7 +72,7 @@
 			case p.stopping && p.seen && p.stopSent.Before(p.stopAt):
 				p.stopSent = now
 				ba.orders = append(ba.orders, worker.Stop(p.Task().String(), p.Attempt, p.leeway))
-			case !p.stopping && !p.sent && !starting:
+			case !p.stopping && !p.sent && (!starting || read.Before(p.Job.reread)):
 				b.due[h] = true // looked at again soon
 			case !p.stopping && !p.sent && p.Job.saved >= p.version && !b.mayStart(p, m):
 			case !p.stopping && !p.sent && p.Job.saved >= p.version && p.Token == b.gen:
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -14,7 +14,7 @@
 // should get. answered tells that the worker gets a 200 for this report; beat
 // tells a beat from the answer to direct commands.
 func (b *Book) Observe(rep *worker.Report, answered, beat bool) []worker.Order {
-	starting := b.Starting()
+	starting, read := b.Starting()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
@@ -39,7 +39,7 @@
 		// beat's answer renews the lease all the same, so it must not come
 		// without the stops.
 		if rep.Session == m.Session {
-			return b.ordersFor(m, beat, false, now)
+			return b.ordersFor(m, beat, false, read, now)
 		}
 		return nil
 	}
@@ -138,7 +138,7 @@
 			break
 		}
 	}
-	orders = append(orders, b.ordersFor(m, beat, starting, now)...)
+	orders = append(orders, b.ordersFor(m, beat, starting, read, now)...)
 	// One line of an answer must stay below 64 KiB; the rest follows with the
 	// next report.
 	return orders[:min(len(orders), maxOrders)]
@@ -158,7 +158,7 @@
 // ordersFor repeats, in a beat's answer, what the machine still has to do.
 // Every command may be repeated; a start is named by task and attempt, so it
 // takes effect once.
-func (b *Book) ordersFor(m *worker.Machine, beat, starting bool, now time.Time) []worker.Order {
+func (b *Book) ordersFor(m *worker.Machine, beat, starting bool, read, now time.Time) []worker.Order {
 	if !beat {
 		return nil
 	}
@@ -171,7 +171,7 @@
 			if p.seen && p.status != worker.Ended {
 				orders = append(orders, worker.Stop(p.Task().String(), p.Attempt, p.leewayNow(now)))
 			}
-		case !starting:
+		case !starting || read.Before(j.reread):
 		case !p.seen && p.Token == b.gen && j.saved >= p.version && !m.Deleting && (p.sent || b.mayStart(p, m)):
 			p.sent, p.offered, p.beatOffer = true, true, m.Tick
 			orders = append(orders, worker.Start(p.Task(), p.Attempt))
--- a/internal/claim/takeover.go
+++ b/internal/claim/takeover.go
@@ -111,7 +111,7 @@
 	t.Committer = NewCommitter(b, p.State, p.Set.HostName, stamp)
 	t.Dispatcher = NewDispatcher(b, p.Commander, p.Set.Sockets().Direct/4)
 	t.Dispatcher.May = func() bool { return p.proven(t) }
-	b.Starting = func() bool { return p.mayStart(t) }
+	b.Starting = func() (bool, time.Time) { return p.mayStart(t), p.readAt() }
 	t.Committer.OnLost = func(why string) { go p.stepDown(t, why) }
 	t.Committer.OnStored = t.Dispatcher.Wake
 	p.State.Budget().SetOwner(true)
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -191,19 +191,23 @@
 }
 
 // Tell passes writes on: to its own pool at once, to the others as fast as the
-// network is. The user's answer does not wait for that.
-func (n *node) Tell(id ids.Job, stamp ids.Stamp, rec *claim.Record, raw json.RawMessage) {
+// network is.
+func (n *node) Tell(id ids.Job, stamp ids.Stamp, rec *claim.Record, raw json.RawMessage) <-chan struct{} {
+	done := make(chan struct{})
 	if lag := n.w.net.Lag; lag != nil && n.pool.Book() == nil {
 		go func() {
+			defer close(done)
 			select {
 			case <-time.After(lag()):
 				n.tell(id, stamp, rec)
 			case <-n.w.ctx.Done():
 			}
 		}()
-		return
+		return done
 	}
 	n.tell(id, stamp, rec)
+	close(done)
+	return done
 }
 
 func (n *node) tell(id ids.Job, stamp ids.Stamp, rec *claim.Record) {
--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -18,7 +18,8 @@
 
 // Teller passes a write on to the pool's owner.
 type Teller interface {
-	Tell(id ids.Job, stamp ids.Stamp, rec *claim.Record, raw json.RawMessage)
+	// The channel closes once it knows, or can't be told.
+	Tell(id ids.Job, stamp ids.Stamp, rec *claim.Record, raw json.RawMessage) <-chan struct{}
 }
 
 // errNotNow means that the request can't be decided or stored now.
@@ -252,7 +253,13 @@
 				d.remember(r)
 				d.Teller.Tell(id, ids.Stamp(epoch), nil, nil)
 			} else {
-				d.Teller.Tell(id, ids.Stamp(epoch), r, txn.Then[0].Value)
+				// It may be about to start some of the tasks.
+				told := d.Teller.Tell(id, ids.Stamp(epoch), r, txn.Then[0].Value)
+				select {
+				case <-told:
+				case <-time.After(ownerTold):
+				case <-ctx.Done():
+				}
 			}
 			return tell(r), true, nil
 		case errors.As(err, &conflict):
@@ -264,6 +271,11 @@
 	return answer{}, false, errNotNow
 }
 
+// ownerTold bounds how long a confirmed cancellation of claimed work waits until the
+// pool's owner knows of it. It finds out by itself soon after; but whoever is told that
+// his job is cancelled should not see a task of it start.
+const ownerTold = 200 * time.Millisecond
+
 // lastKnown is a live job's record in this node's copy, however old; nil if there
 // is none.
 func (d *Desk) lastKnown(id ids.Job) *claim.Record {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -65,7 +65,11 @@
 
 type mute struct{}
 
-func (mute) Tell(ids.Job, ids.Stamp, *claim.Record, json.RawMessage) {}
+func (mute) Tell(ids.Job, ids.Stamp, *claim.Record, json.RawMessage) <-chan struct{} {
+	done := make(chan struct{})
+	close(done)
+	return done
+}
 
 func desk() (*fake.Net, *fake.Store, *Desk) {
 	n, s := fake.NewNet(), fake.NewStore()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -249,21 +249,27 @@
 	return all
 }
 
-// Tell passes a write on to the pool's owner, wherever it is.
-func (l *Link) Tell(id ids.Job, stamp ids.Stamp, rec *claim.Record, raw json.RawMessage) {
+// Tell passes a write on to the pool's owner, wherever it is; the channel closes once
+// it knows, or can't be told.
+func (l *Link) Tell(id ids.Job, stamp ids.Stamp, rec *claim.Record, raw json.RawMessage) <-chan struct{} {
+	done := make(chan struct{})
 	if l.pool.Book() != nil {
 		l.pool.Learn(id, stamp, rec)
-		return
+		close(done)
+		return done
 	}
 	owner, ok := l.pool.Owner()
 	if !ok {
-		return
+		close(done)
+		return done
 	}
 	go func() {
+		defer close(done)
 		if err := l.call(context.Background(), owner, "Learn", &Wrote{id, stamp, raw}, &Empty{}); err != nil {
 			slog.Debug("owner not told", "job", id, "err", err)
 		}
 	}()
+	return done
 }
 
 // Explain asks the owner why a job's tasks wait.
