--- a/internal/claim/apart_test.go
+++ b/internal/claim/apart_test.go
@@ -41,6 +41,7 @@
 }
 
 func TestAZoneCutBeyondTheLeaseWithTheOwnerEndedMeanwhile(t *testing.T) {
+	t.Parallel()
 	// Guards against what the zone's held reports, commands and answers do when
 	// they arrive afterwards: its tasks ended with their leases and run elsewhere
 	// or anew, and what ran in the other zone never stopped.
@@ -110,6 +111,7 @@
 }
 
 func TestAnOwnerThatStoodStillIsTurnedAway(t *testing.T) {
+	t.Parallel()
 	// Guards against an owner that stands still with a start, its answers and its
 	// writes on their way: a successor works meanwhile, then they arrive.
 	story(t, func(t *testing.T, w *world) {
@@ -154,6 +156,7 @@
 }
 
 func TestAnOwnerIsSureOnlyWithinItsHold(t *testing.T) {
+	t.Parallel()
 	// The cloud's deletions rest on it: they carry no token.
 	story(t, func(t *testing.T, w *world) {
 		a := w.start("a")
@@ -177,6 +180,7 @@
 }
 
 func TestAnOwnerCutFromTheStateAloneThenFromTheWorkersAlone(t *testing.T) {
+	t.Parallel()
 	// The controllers refuse one another all the while.
 	story(t, func(t *testing.T, w *world) {
 		w.listed = true
@@ -223,6 +227,7 @@
 }
 
 func TestAllControllersBackAtOnceAmidAnElectionWithLateCopies(t *testing.T) {
+	t.Parallel()
 	// Guards against copies of reports and repeats of submissions and cancels,
 	// carried out long ago, that arrive at processes which know of nothing yet.
 	story(t, func(t *testing.T, w *world) {
@@ -293,6 +298,7 @@
 }
 
 func TestAMachineWhoseBeatsFindNoWay(t *testing.T) {
+	t.Parallel()
 	// Found by a day with half as many machines again: the controllers had no
 	// sockets left for new workers, which answered questions all the same.
 	story(t, func(t *testing.T, w *world) {
@@ -317,6 +323,7 @@
 }
 
 func TestACancelWhileTheOwnerIsCutOffWithAZone(t *testing.T) {
+	t.Parallel()
 	// Found on a day with a zone cut off in which the owner was: it went on
 	// answering the zone's workers, and what a user had cancelled through another
 	// node ran beyond the time allowed for that.
@@ -349,6 +356,7 @@
 }
 
 func TestOnlyWhoMayStillAnswerIsAskedToConfirm(t *testing.T) {
+	t.Parallel()
 	// Guards against controllers cut off with a zone, which own nothing, keeping a
 	// new owner from trusting any lapse.
 	for seen, want := range map[time.Duration]int{5 * time.Second: 0, 30 * time.Second: 1} {
--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -46,6 +46,7 @@
 }
 
 func TestTheTransitionTableHasNoWayOutOfAnEnd(t *testing.T) {
+	t.Parallel()
 	for _, from := range []Status{Queued, Claimed, Cancelling, Cancelled, Done} {
 		for _, to := range []Status{Queued, Claimed, Cancelling, Cancelled, Done} {
 			if from.Over() && from.May(to) {
@@ -59,6 +60,7 @@
 }
 
 func TestRecordsStaySmallAndReadBack(t *testing.T) {
+	t.Parallel()
 	b := testBook()
 	r := rec("job-1", "red", Low, 100000, 1)
 	j := b.addJob(r, 1, time.Now())
@@ -83,6 +85,7 @@
 }
 
 func TestPreemptionFollowsPriorityAndGuarantee(t *testing.T) {
+	t.Parallel()
 	now := time.Now()
 	b := testBook()
 	b.hear("m1", "north", 1)
@@ -118,6 +121,7 @@
 }
 
 func TestSmallJobsGoFirstUntilLargeOnesHaveWaited(t *testing.T) {
+	t.Parallel()
 	now := time.Now()
 	b := testBook()
 	large, small := rec("job-1", "blue", Normal, 60, 1), rec("job-2", "blue", Normal, 5, 1)
@@ -134,6 +138,7 @@
 }
 
 func TestLowPriorityRisesOneStepAndNoMore(t *testing.T) {
+	t.Parallel()
 	now := time.Now()
 	b := testBook()
 	low, high := rec("job-1", "blue", Low, 60, 1), rec("job-2", "blue", High, 60, 1)
@@ -151,6 +156,7 @@
 }
 
 func TestAJobsOwnMistakeDoesNotCondemnMachines(t *testing.T) {
+	t.Parallel()
 	now := time.Now()
 	b := testBook()
 	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 1, 1), now)
@@ -190,6 +196,7 @@
 }
 
 func TestOutcomesAreClearedOnlyOnceStored(t *testing.T) {
+	t.Parallel()
 	now := time.Now()
 	b := testBook()
 	b.hear("m1", "north", 1)
@@ -217,6 +224,7 @@
 }
 
 func TestSilenceOfAWholeZoneIsLeftToTheLeases(t *testing.T) {
+	t.Parallel()
 	b := testBook()
 	names := []ids.Machine{"n1", "n2", "n3", "n4", "n5", "s1", "s2", "s3"}
 	for _, n := range names {
@@ -248,6 +256,7 @@
 }
 
 func TestTeamLimitsHoldForWhatMayBeThere(t *testing.T) {
+	t.Parallel()
 	now := time.Now()
 	b := testBook()
 	for i := range 20 {
@@ -262,6 +271,7 @@
 }
 
 func TestATeamsOwnLesserWorkMakesWayAtItsLimit(t *testing.T) {
+	t.Parallel()
 	now := time.Now()
 	b := testBook()
 	for i := range 20 {
@@ -285,6 +295,7 @@
 }
 
 func TestReplicasTakeRoomWhereTheirImageIs(t *testing.T) {
+	t.Parallel()
 	now := time.Now()
 	b := testBook()
 	b.hear("warm", "north", 1)
@@ -312,6 +323,7 @@
 }
 
 func TestRoomFreedForOneJobIsNotLostToOthers(t *testing.T) {
+	t.Parallel()
 	now := time.Now()
 	b := testBook()
 	for _, m := range []ids.Machine{"m1", "m2", "m3"} {
@@ -354,6 +366,7 @@
 }
 
 func TestCriticalWorkWaitsForASaveOnlyIfMuchWouldBeLost(t *testing.T) {
+	t.Parallel()
 	now := time.Now()
 	j := &Job{Rec: *rec("job-1", "blue", Low, 1, 4)}
 	j.Rec.Spec.Checkpoint, j.Rec.Spec.Save = 60, 5
@@ -366,6 +379,7 @@
 }
 
 func TestReplicasAreNotSwappedForAnImage(t *testing.T) {
+	t.Parallel()
 	now := time.Now()
 	b := testBook()
 	b.hear("warm", "north", 1)
@@ -393,6 +407,7 @@
 }
 
 func TestAMissWidensTheSampleToAll(t *testing.T) {
+	t.Parallel()
 	now := time.Now()
 	b := testBook()
 	one := func(id ids.Job, cores float64) {
@@ -427,6 +442,7 @@
 }
 
 func TestAMachineThatReportsButCannotBeReachedIsReplaced(t *testing.T) {
+	t.Parallel()
 	// Guards against a cut of one direction: its beats come in, so that it looks
 	// well, but no start and no answer ever reaches it.
 	now := time.Now()
@@ -513,6 +529,7 @@
 }
 
 func TestAGangsTaskThatHasItsImageStartsWhenTheOthersHaveTheirs(t *testing.T) {
+	t.Parallel()
 	// Guards against tasks that give up waiting while others fetch a large
 	// image, again and again.
 	b, j := gangBook(time.Now())
@@ -540,6 +557,7 @@
 }
 
 func TestATaskReplacedWhereItEndedIsClearedFirst(t *testing.T) {
+	t.Parallel()
 	// Guards against taking the old outcome of an attempt for that of its
 	// replacement on the same machine, which then was placed anew at each pass.
 	now := time.Now()
@@ -582,6 +600,7 @@
 }
 
 func TestOfGangsAlikeTheOneThatNeedNotFetchGoesFirst(t *testing.T) {
+	t.Parallel()
 	now := time.Now()
 	b := testBook()
 	b.set.Params.Teams[1].CPUs = 0 // neither is guaranteed
@@ -599,6 +618,7 @@
 }
 
 func TestReplicasOnASilentMachineDoNotWaitForALongReportInterval(t *testing.T) {
+	t.Parallel()
 	b := testBook()
 	b.set.Params.Workers.ReportS = 10
 	now := time.Now()
@@ -641,6 +661,7 @@
 }
 
 func TestWhatOnlyThisOwnerKnowsIsStoredAtOnce(t *testing.T) {
+	t.Parallel()
 	// Outcomes wait for one another, since workers report them until they are
 	// cleared. That a machine is gone, the next owner would learn much later.
 	now := time.Now()
@@ -673,6 +694,7 @@
 }
 
 func TestAJobTooLargeForItsRecordSaysSoAndHoldsNoRoom(t *testing.T) {
+	t.Parallel()
 	now := time.Now()
 	b := fleet(t, 100)
 	limit := b.openLimit(&Job{})
--- a/internal/claim/cancel_start_test.go
+++ b/internal/claim/cancel_start_test.go
@@ -10,6 +10,7 @@
 )
 
 func TestAnOwnerCutOffFromItsPeersHearsOfACancelBeforeItSendsAStart(t *testing.T) {
+	t.Parallel()
 	// Guards against a start sent after the user was told that the job is cancelled: the
 	// marker is stored and its answer takes a while; meanwhile the other node reads it,
 	// stores the cancel and tells the user, but can't tell the owner.
--- a/internal/claim/fairness_test.go
+++ b/internal/claim/fairness_test.go
@@ -15,6 +15,7 @@
 // must not leave the largest job of a class, low priority or the smallest team
 // behind: each begins within four minutes, under more work than there is room.
 func TestNothingStarvesUnderASteadyStreamOfSmallerWork(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		b := fleet(t, 10)
 		const runs = 10 * time.Second
@@ -90,6 +91,7 @@
 }
 
 func TestInABurstAfterALossEveryTeamAndTheLargestBegin(t *testing.T) {
+	t.Parallel()
 	// A third of the machines is lost with all that ran there, and three times as
 	// much comes in as fits: each class, team and largest job, a gang over half of
 	// what is left too, begins within four minutes.
@@ -165,6 +167,7 @@
 }
 
 func TestAGangOfTwoBeginsBesideAStreamOfGangsOfOne(t *testing.T) {
+	t.Parallel()
 	// Found on a day of the ops deployments: gangs that need two large machines of one
 	// zone at once waited for up to six minutes, since each that became free was
 	// taken by a gang of one, just as high.
--- a/internal/claim/fleet_test.go
+++ b/internal/claim/fleet_test.go
@@ -34,6 +34,7 @@
 }
 
 func TestLivingMachinesDoNotWaitForHundredsOfSilentOnes(t *testing.T) {
+	t.Parallel()
 	// Guards against sends to machines that were lost a moment ago, or long ago,
 	// holding all the places of the dispatcher for seconds each.
 	for _, known := range []bool{false, true} {
@@ -101,6 +102,7 @@
 }
 
 func TestAskingTakesTurnsAndReplicasGoFirst(t *testing.T) {
+	t.Parallel()
 	// Guards against hundreds of silent machines using up the questions, again
 	// and again the same ones, while one with a replica waits.
 	b := fleet(t, 300)
@@ -130,6 +132,7 @@
 }
 
 func TestAMarkedTaskGoesElsewhereOnceItsMachineDoesNotAnswer(t *testing.T) {
+	t.Parallel()
 	now := time.Now()
 	b := testBook()
 	b.hear("m1", "north", 1)
@@ -166,6 +169,7 @@
 }
 
 func TestAZoneThatGoesDarkIsNotMistakenForItsFirstSilentMachines(t *testing.T) {
+	t.Parallel()
 	// Machines with replicas are asked sooner than others, so of a zone cut off
 	// they alone look silent for some seconds. And when the zone is heard again,
 	// those not heard yet must not be given up for having been silent in the cut.
@@ -229,6 +233,7 @@
 }
 
 func TestAfterATakeoverReplicasOfADarkZoneMoveOnTheCloudsWord(t *testing.T) {
+	t.Parallel()
 	// Guards against a new owner that waits for leases it knows nothing of: the
 	// replicas had ended long before. Where the rule of zones leaves no room
 	// elsewhere, returning the machines would gain nothing.
@@ -266,6 +271,7 @@
 }
 
 func TestAUserIsToldWhatMovedAndWhatWaits(t *testing.T) {
+	t.Parallel()
 	now := time.Now()
 	b := testBook()
 	for i := range 4 {
@@ -310,6 +316,7 @@
 }
 
 func TestATaskMarkedForASessionThatEndsMeanwhileIsPlacedAnew(t *testing.T) {
+	t.Parallel()
 	// Found on a day with a zone cut off: when it came back, replicas were marked
 	// for workers whose sessions ended before the marker was stored. No start went
 	// out, nothing reported them, and they stayed down for good.
--- a/internal/claim/gap_test.go
+++ b/internal/claim/gap_test.go
@@ -72,6 +72,7 @@
 }
 
 func TestWhatAnotherNodeCancelledEndsWithTheOldLeadersGrace(t *testing.T) {
+	t.Parallel()
 	// Guards against a leader that keeps cancelled tasks alive or starts them: it was
 	// refused alone when they were cancelled, then nobody was served for long.
 	for _, outage := range []time.Duration{8 * time.Second, 25 * time.Second, 77 * time.Second} {
@@ -109,6 +110,7 @@
 }
 
 func TestALeaderServedAgainReadsBeforeItRenewsLeases(t *testing.T) {
+	t.Parallel()
 	// Guards against a leader whose renewals succeed while it can't read what was
 	// cancelled: after an outage its hold has its full time, its reads may lag.
 	story(t, func(t *testing.T, w *world) {
@@ -127,6 +129,7 @@
 }
 
 func TestALeaderThatTookOverRightBeforeTheOutageRenewsNothingUnread(t *testing.T) {
+	t.Parallel()
 	// Guards against a successor without the records: it must neither answer beats
 	// nor start or stop anything until it has read them all.
 	story(t, func(t *testing.T, w *world) {
@@ -152,6 +155,7 @@
 }
 
 func TestAStartThatMayArriveLateEndsWithItsWorkersSession(t *testing.T) {
+	t.Parallel()
 	// Guards against a direct start held back while its job is cancelled and the token
 	// that would turn it away can't be raised: the session must not outlive cancel_s.
 	story(t, func(t *testing.T, w *world) {
@@ -192,6 +196,7 @@
 }
 
 func TestNothingStartsOnceAnotherNodeMayHaveCancelledIt(t *testing.T) {
+	t.Parallel()
 	// Guards against a start marked before the leader lost the state service and sent
 	// long after, by a beat's answer or directly, of a job that another node cancelled.
 	story(t, func(t *testing.T, w *world) {
--- a/internal/claim/lonely_test.go
+++ b/internal/claim/lonely_test.go
@@ -13,6 +13,7 @@
 )
 
 func TestAnOwnerWithoutAnyNetworkIsReplacedOnceAndFollows(t *testing.T) {
+	t.Parallel()
 	// By reset and by silence, for a minute and a half: what it still believes to own
 	// must not come back with it, nor may the pool go back and forth.
 	for how, fate := range map[string]fake.Fate{"reset": fake.Refuse, "silence": fake.Swallow, "held back": fake.Hold} {
@@ -57,6 +58,7 @@
 }
 
 func TestASwarmOfSmallJobsStaysWithinTheLimits(t *testing.T) {
+	t.Parallel()
 	// Guards against a guest's hundreds of one-task jobs within a minute: each costs a
 	// creation, a claim and an end, and all together must stay below the changes that
 	// the state service takes, a transaction below its own, and none be lost.
--- a/internal/claim/meetings_test.go
+++ b/internal/claim/meetings_test.go
@@ -194,12 +194,14 @@
 }
 
 func TestTheLeaderEndsWhileMachinesAreApart(t *testing.T) {
+	t.Parallel()
 	// Guards against long tasks started anew while they go on where nobody asks or
 	// is heard, and against losing those that ended with their leases. A team is at
 	// its limit, a job is called off meanwhile, and another waits for its room.
 	for _, how := range []string{"refused", "swallowed", "held", "deaf", "mute"} {
 		for _, cut := range [][]string{{"m1"}, {"m2", "m3"}, {"m1", "m2", "m3"}} {
 			t.Run(how+fmt.Sprint(len(cut)), func(t *testing.T) {
+				t.Parallel()
 				meeting(t, func(t *testing.T, g *meet) {
 					for i, zone := range []string{"north", "south", "south"} {
 						g.worker(fmt.Sprintf("m%d", i+1), zone)
@@ -230,12 +232,14 @@
 }
 
 func TestOldReportsReachEveryControllerAsALeaderBegins(t *testing.T) {
+	t.Parallel()
 	// Guards against a new leader that takes an old report, the first it hears of a
 	// machine, for what is there now: while the machine can't be asked, and while it
 	// can.
 	for _, what := range []string{"shows what runs elsewhere", "shows nothing", "of an earlier session", "shows what is done"} {
 		for _, how := range []string{"", "refused", "held", "deaf"} {
 			t.Run(what+how, func(t *testing.T) {
+				t.Parallel()
 				meeting(t, func(t *testing.T, g *meet) {
 					m1 := g.worker("m1", "north")
 					time.Sleep(10 * time.Second)
@@ -288,12 +292,14 @@
 }
 
 func TestTheLimitHoldsWhileCancelledWorkCantBeReached(t *testing.T) {
+	t.Parallel()
 	// Guards against giving away the room of cancelled jobs before their tasks are
 	// gone: the team is at its limit, machines hang or can't be asked, and the
 	// leader changes before or after the cancellations.
 	for _, how := range []string{"refused", "swallowed", "held", "deaf", "mute"} {
 		for _, after := range []bool{false, true} {
 			t.Run(fmt.Sprint(how, after), func(t *testing.T) {
+				t.Parallel()
 				meeting(t, func(t *testing.T, g *meet) {
 					for i, zone := range []string{"north", "south", "north", "south"} {
 						g.worker(fmt.Sprintf("m%d", i+1), zone)
@@ -341,11 +347,13 @@
 }
 
 func TestNewMachinesGetWorkWhileWritesLagAndTheLeaderEnds(t *testing.T) {
+	t.Parallel()
 	// Guards against a successor that knows neither of machines which nobody has
 	// listed yet nor of what was claimed there by writes without an answer.
 	for _, fate := range []fake.Fate{fake.LoseAnswer, fake.Hold, fake.Swallow, fake.Copy} {
 		for _, starts := range []fake.Fate{fake.Deliver, fake.Hold, fake.LoseAnswer} {
 			t.Run(fmt.Sprint(fate, starts), func(t *testing.T) {
+				t.Parallel()
 				meeting(t, func(t *testing.T, g *meet) {
 					g.listed = false
 					time.Sleep(10 * time.Second)
@@ -387,12 +395,14 @@
 }
 
 func TestTasksThatEndFarApartAcrossAChangeOfLeader(t *testing.T) {
+	t.Parallel()
 	// Guards against a job called done before its last task, and against done tasks
 	// run again: the leader ends before, while and after an end is stored, and old
 	// reports show the tasks still running.
 	for _, shape := range []int{2, 3} {
 		for _, lag := range []time.Duration{0, 300 * time.Millisecond, 2 * time.Second, 6 * time.Second} {
 			t.Run(fmt.Sprint(shape, lag), func(t *testing.T) {
+				t.Parallel()
 				meeting(t, func(t *testing.T, g *meet) {
 					g.worker("m1", "north")
 					g.worker("m2", "south")
@@ -425,6 +435,7 @@
 }
 
 func TestCommandsAndAnswersHeldUpForSeconds(t *testing.T) {
+	t.Parallel()
 	// Guards against a start or stop, or only its answer, that takes effect or is
 	// known seconds later, or after cancel_s: the job is called off meanwhile, or the leader ends, and
 	// the beats of the machine get through or don't.
@@ -436,6 +447,7 @@
 					mute bool
 				}{{5 * time.Second, false}, {5 * time.Second, true}, {45 * time.Second, false}} {
 					t.Run(fmt.Sprint(fate, verb, what, late.by, late.mute), func(t *testing.T) {
+						t.Parallel()
 						meeting(t, func(t *testing.T, g *meet) {
 							g.worker("m1", "north")
 							g.worker("m2", "south")
@@ -479,11 +491,13 @@
 }
 
 func TestWorkBoundToOneZoneLosesMachines(t *testing.T) {
+	t.Parallel()
 	// Guards against tasks that go to another zone, where there is room, once their
 	// own has none or is dark; a new machine of the zone takes them.
 	for _, how := range []string{"refused", "held", "deaf"} {
 		for _, shape := range []string{"array", "standing", "gang"} {
 			t.Run(how+shape, func(t *testing.T) {
+				t.Parallel()
 				meeting(t, func(t *testing.T, g *meet) {
 					for i, zone := range []string{"north", "north", "south", "south"} {
 						g.worker(fmt.Sprintf("m%d", i+1), zone)
@@ -524,11 +538,13 @@
 }
 
 func TestLeadersComeAndGo(t *testing.T) {
+	t.Parallel()
 	// Guards against what is lost or begun anew while leaders change ten times in
 	// two minutes, also inside an outage of the store, and while all are away.
 	for _, gap := range []time.Duration{50 * time.Millisecond, 900 * time.Millisecond, 5 * time.Second} {
 		for _, how := range []string{"one", "outage", "all", "away"} {
 			t.Run(fmt.Sprint(gap, how), func(t *testing.T) {
+				t.Parallel()
 				meeting(t, func(t *testing.T, g *meet) {
 					g.worker("m1", "north")
 					g.worker("m2", "south")
@@ -582,11 +598,13 @@
 }
 
 func TestMoreWorkThanRoomOverSlowLinks(t *testing.T) {
+	t.Parallel()
 	// Guards against work started twice, beyond the limit, or before urgent work
 	// that came later, while every call takes long; also if the leader ends.
 	for _, slow := range []time.Duration{100 * time.Millisecond, 350 * time.Millisecond} {
 		for _, ends := range []bool{false, true} {
 			t.Run(fmt.Sprint(slow, ends), func(t *testing.T) {
+				t.Parallel()
 				meeting(t, func(t *testing.T, g *meet) {
 					g.worker("m1", "north")
 					g.worker("m2", "south")
@@ -640,12 +658,14 @@
 	}
 }
 func TestAnOldReportOfAGangsTaskReplacedWhereItEnded(t *testing.T) {
+	t.Parallel()
 	// Guards against a new leader that takes the end of an earlier start, under the
 	// same attempt on the same machine, for the end of the one that waits there now:
 	// it would start the task elsewhere. Its session may have changed in between.
 	for _, session := range []bool{false, true} {
 		for _, how := range []string{"", "refused", "held", "deaf"} {
 			t.Run(fmt.Sprint(session, how), func(t *testing.T) {
+				t.Parallel()
 				meeting(t, func(t *testing.T, g *meet) {
 					g.worker("m1", "north")
 					g.worker("m2", "south")
@@ -708,6 +728,7 @@
 }
 
 func TestUrgentWorkBeginsWhereItsTeamIsAtItsLimit(t *testing.T) {
+	t.Parallel()
 	// Guards against room of a team's limit, from which lesser work of its own made
 	// way, being given to lesser work again at once: the urgent job, and a gang as
 	// large as the limit above all, never began, and the rest was stopped, or dropped
@@ -717,6 +738,7 @@
 			for _, slow := range []time.Duration{0, 60 * time.Millisecond, 200 * time.Millisecond} {
 				for _, after := range []time.Duration{0, 5 * time.Second} {
 					t.Run(fmt.Sprint(shape, urgency, slow, after), func(t *testing.T) {
+						t.Parallel()
 						meeting(t, func(t *testing.T, g *meet) {
 							for i, zone := range []string{"north", "south", "south"} {
 								g.worker(fmt.Sprintf("m%d", i+1), zone)
--- a/internal/claim/mistakes_test.go
+++ b/internal/claim/mistakes_test.go
@@ -38,6 +38,7 @@
 }
 
 func TestAJobSubmittedWithAMistakeTakesLittleAndHarmsNobody(t *testing.T) {
+	t.Parallel()
 	// Found on days with such jobs: each cost machines their name and was rented
 	// for, and all of its tasks were tried again and again.
 	synctest.Test(t, func(t *testing.T) {
@@ -113,6 +114,7 @@
 }
 
 func TestAGoodJobOnABadMachineRunsSoonAndTheMachineIsFoundOut(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		b := fleet(t, 4)
 		b.Learn("job-1", 1, rec("job-1", "blue", Normal, 8, 1), time.Now())
@@ -141,6 +143,7 @@
 }
 
 func TestAReplicaThatLastsClearsItsJob(t *testing.T) {
+	t.Parallel()
 	// It failed on three machines that were bad, and never completes by nature: it
 	// must not count as failing for ever.
 	synctest.Test(t, func(t *testing.T) {
@@ -169,6 +172,7 @@
 }
 
 func TestAVastArrayIsNotHeldUpByItsRecord(t *testing.T) {
+	t.Parallel()
 	// Found by hunt: 25,000 tasks of seconds on values of 8 KiB, of which 150 were
 	// under way at a time, were not done in seven minutes.
 	synctest.Test(t, func(t *testing.T) {
@@ -207,6 +211,7 @@
 }
 
 func TestOnlyWorkersThatAreOverdueAndMissingMakeAnOwnerGiveWay(t *testing.T) {
+	t.Parallel()
 	// Found on a day of an earlier deployment: an owner gave way nine seconds after its
 	// takeover for workers that were there, since their peer's word took longer than
 	// they did.
@@ -234,6 +239,7 @@
 }
 
 func TestWorkersSentToAnEarlierOwnerSayNothingOfThisOne(t *testing.T) {
+	t.Parallel()
 	// Found on a day with a crash: the workers that had been sent on to the dead owner,
 	// or had been here since, made each new one give way a few seconds after its
 	// takeover.
@@ -264,6 +270,7 @@
 }
 
 func TestANewOwnerKnowsWhatItsPredecessorRented(t *testing.T) {
+	t.Parallel()
 	// Guards against renting twice after a takeover: the cloud's list lags by more
 	// than a takeover takes.
 	synctest.Test(t, func(t *testing.T) {
@@ -296,6 +303,7 @@
 }
 
 func TestPlacesReadBackAsTheyWere(t *testing.T) {
+	t.Parallel()
 	// Sessions, attempts and tokens apart, and names of which one begins another.
 	places := map[int]*Place{}
 	for i := range 400 {
--- a/internal/claim/mixed_test.go
+++ b/internal/claim/mixed_test.go
@@ -11,6 +11,7 @@
 )
 
 func TestTwoTroublesAtOnceWhileUsersSubmitAskAndCancel(t *testing.T) {
+	t.Parallel()
 	// Guards against rules that hold in each trouble alone: machines hang, are mute or
 	// deaf or have their reports copied, the state service refuses the owner or is slow,
 	// and the owner ends, two of these at a time, for up to beyond a lease. Once all is
--- a/internal/claim/rules_test.go
+++ b/internal/claim/rules_test.go
@@ -394,6 +394,7 @@
 }
 
 func TestEachRuleCanBeBroken(t *testing.T) {
+	t.Parallel()
 	// Guards against a checker that sees nothing: every rule is broken once, by as
 	// little as it takes, and the same without that is clean.
 	small := &fake.Worker{Name: "m1", Type: "small", Zone: "north"}
--- a/internal/claim/scale_test.go
+++ b/internal/claim/scale_test.go
@@ -26,6 +26,7 @@
 // Counts machines looked at, not time: that a pass costs what changed, and not
 // the fleet times the jobs or tasks, must not be lost unseen.
 func TestPlanningCostsWhatChangedAndNotTheFleet(t *testing.T) {
+	t.Parallel()
 	now := time.Now()
 	const machines, jobs = 4000, 800
 	b := fleet(t, machines)
@@ -83,6 +84,7 @@
 }
 
 func TestIndexesAgreeWithWhatIsPlaced(t *testing.T) {
+	t.Parallel()
 	now := time.Now()
 	b := fleet(t, 40)
 	for i := range 30 {
--- a/internal/claim/standstill_test.go
+++ b/internal/claim/standstill_test.go
@@ -12,6 +12,7 @@
 )
 
 func TestAnOwnerThatWakesProvesThatItStillOwnsBeforeItActs(t *testing.T) {
+	t.Parallel()
 	// Guards against the first moments after a standstill, in which what waited on
 	// its connections is answered and machines look silent that nobody listened to.
 	synctest.Test(t, func(t *testing.T) {
@@ -63,6 +64,7 @@
 }
 
 func TestReasonsAreCurrentOrSaidNotToBe(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		p := NewPool(testSet(), nil, nil, "a.1")
 		b := fleet(t, 1)
--- a/internal/claim/stories_test.go
+++ b/internal/claim/stories_test.go
@@ -12,6 +12,7 @@
 )
 
 func TestAnArrayRunsToItsEndAndStaysDone(t *testing.T) {
+	t.Parallel()
 	story(t, func(t *testing.T, w *world) {
 		w.start("a")
 		w.start("b")
@@ -37,6 +38,7 @@
 }
 
 func TestTwoOwnersAtOnceAreHarmlessAndALateTransactionIsVoid(t *testing.T) {
+	t.Parallel()
 	story(t, func(t *testing.T, w *world) {
 		a := w.start("a")
 		w.until(5*time.Second, "a owns the pool", func() bool { return a.pool.Book() != nil })
@@ -73,6 +75,7 @@
 }
 
 func TestAStartThatArrivesMinutesLateIsTurnedAway(t *testing.T) {
+	t.Parallel()
 	story(t, func(t *testing.T, w *world) {
 		w.start("a")
 		w.worker("m1", "north")
@@ -102,6 +105,7 @@
 }
 
 func TestAWorkerSilentDuringATakeoverIsGivenItsTime(t *testing.T) {
+	t.Parallel()
 	story(t, func(t *testing.T, w *world) {
 		a := w.start("a")
 		m1 := w.worker("m1", "north")
@@ -133,6 +137,7 @@
 }
 
 func TestAConfirmedStopShortensTheWait(t *testing.T) {
+	t.Parallel()
 	story(t, func(t *testing.T, w *world) {
 		a := w.start("a")
 		w.worker("m1", "north")
@@ -154,6 +159,7 @@
 }
 
 func TestAnOutageLongerThanTheHoldWithAllControllersCrashedInIt(t *testing.T) {
+	t.Parallel()
 	story(t, func(t *testing.T, w *world) {
 		a, b := w.start("a"), w.start("b")
 		w.worker("m1", "north")
@@ -183,6 +189,7 @@
 }
 
 func TestAGangThatLosesATaskWhileWaitingIsCompleted(t *testing.T) {
+	t.Parallel()
 	story(t, func(t *testing.T, w *world) {
 		w.start("a")
 		w.worker("m1", "north")
@@ -208,6 +215,7 @@
 }
 
 func TestAGangThatLosesATaskWhileRunningBeginsAgainAsAWhole(t *testing.T) {
+	t.Parallel()
 	for _, status := range []string{"running", "flushing"} {
 		story(t, func(t *testing.T, w *world) {
 			w.start("a")
@@ -239,6 +247,7 @@
 }
 
 func TestACancelRacingAStartLeavesNothingBehind(t *testing.T) {
+	t.Parallel()
 	story(t, func(t *testing.T, w *world) {
 		w.start("a")
 		w.start("b")
@@ -265,6 +274,7 @@
 }
 
 func TestUncertainTasksCountAgainstTheLimit(t *testing.T) {
+	t.Parallel()
 	story(t, func(t *testing.T, w *world) {
 		w.start("a")
 		w.worker("m1", "north")
@@ -287,6 +297,7 @@
 }
 
 func TestALostAnswerToACommitIsReadBack(t *testing.T) {
+	t.Parallel()
 	story(t, func(t *testing.T, w *world) {
 		w.start("a")
 		w.worker("m1", "north")
@@ -310,6 +321,7 @@
 }
 
 func TestARestartedOwnerEndsItsDeadPredecessorsHold(t *testing.T) {
+	t.Parallel()
 	story(t, func(t *testing.T, w *world) {
 		a := w.start("a")
 		w.worker("m1", "north")
@@ -328,6 +340,7 @@
 }
 
 func TestSpreadIsKeptWithUncertainReplicas(t *testing.T) {
+	t.Parallel()
 	story(t, func(t *testing.T, w *world) {
 		w.start("a")
 		w.worker("m1", "north")
@@ -343,6 +356,7 @@
 }
 
 func TestNothingIsStoppedThatAnOutageWouldKeepFromStarting(t *testing.T) {
+	t.Parallel()
 	story(t, func(t *testing.T, w *world) {
 		w.start("a")
 		w.worker("m1", "north")
@@ -381,6 +395,7 @@
 }
 
 func TestANewOwnerAsksMachinesBeforeTheirWorkersFindIt(t *testing.T) {
+	t.Parallel()
 	story(t, func(t *testing.T, w *world) {
 		a := w.start("a")
 		b := w.start("b")
@@ -401,6 +416,7 @@
 }
 
 func TestAnOwnerCutOffFromTheWorkersReturnsNoneAndGivesWay(t *testing.T) {
+	t.Parallel()
 	story(t, func(t *testing.T, w *world) {
 		a := w.start("a")
 		b := w.start("b")
--- a/internal/claim/troubles_test.go
+++ b/internal/claim/troubles_test.go
@@ -31,6 +31,7 @@
 }
 
 func TestLateCopiesOfReportsChangeNothing(t *testing.T) {
+	t.Parallel()
 	// Guards against a copy, seconds or more than a lease old, that shows a task
 	// as running which has ended and was cleared, or lacks one that runs now.
 	for _, late := range []time.Duration{3 * time.Second, 35 * time.Second} {
@@ -78,6 +79,7 @@
 }
 
 func TestANewOwnerFirstHearsLateCopiesOfReports(t *testing.T) {
+	t.Parallel()
 	// The copies show job-1 running and know nothing of job-2, which runs there
 	// now: the new owner hears them before anything else of that machine.
 	story(t, func(t *testing.T, w *world) {
@@ -116,6 +118,7 @@
 }
 
 func TestProcessesBackWithinAFractionOfASecond(t *testing.T) {
+	t.Parallel()
 	// The owner; the candidate in the middle of its takeover; all at once.
 	story(t, func(t *testing.T, w *world) {
 		w.start("a")
@@ -162,6 +165,7 @@
 }
 
 func TestAMachineBackAtOnceUnderItsName(t *testing.T) {
+	t.Parallel()
 	// It lost its tasks and counts from the beginning again: what ran there
 	// must run again, once.
 	story(t, func(t *testing.T, w *world) {
@@ -183,6 +187,7 @@
 }
 
 func TestEveryAcceptedJobIsAnsweredForSoonAfterTroublesEnd(t *testing.T) {
+	t.Parallel()
 	// One unanswered for 75 s after that counts as forgotten, on any node.
 	story(t, func(t *testing.T, w *world) {
 		a, b := w.start("a"), w.start("b")
--- a/internal/claim/users_test.go
+++ b/internal/claim/users_test.go
@@ -94,6 +94,7 @@
 }
 
 func TestUsersAskAtAllNodesWithinMilliseconds(t *testing.T) {
+	t.Parallel()
 	// Guards against a node that answers something older, or with 404, than another
 	// one told just before: after an acceptance, an end and a confirmed cancel.
 	for seed := range uint64(4) {
@@ -146,6 +147,7 @@
 }
 
 func TestACancelAQuestionOrARepeatMeetsTheEndOfTheLastTask(t *testing.T) {
+	t.Parallel()
 	// Guards against two winners: whatever is told first, every node tells from then on.
 	for seed := range uint64(4) {
 		story(t, func(t *testing.T, w *world) {
@@ -240,6 +242,7 @@
 }
 
 func TestTransactionsWhoseAnswersAreLostOrThatAreCarriedOutLate(t *testing.T) {
+	t.Parallel()
 	// Guards against counting a transaction without an answer as one that was not
 	// carried out, or will not be: half of one kind, or of all, get none. They are
 	// carried out at once, while others read what they wrote, or 2 to 12 s later,
@@ -248,6 +251,7 @@
 		for fate, name := range map[fake.Fate]string{fake.LoseAnswer: "answer lost", fake.Late: "late"} {
 			for seed := range uint64(3) {
 				t.Run(fmt.Sprintf("%s %s %d", what, name, seed), func(t *testing.T) {
+					t.Parallel()
 					story(t, func(t *testing.T, w *world) { lateWrites(t, w, newDice(seed), what, fate, seed%2 == 1) })
 				})
 			}
@@ -362,6 +366,7 @@
 }
 
 func TestJobsThatLackAFieldOrFitNothingAreRefusedByEveryNode(t *testing.T) {
+	t.Parallel()
 	// Guards against accepting what can't run, and against refusing the repeat of what
 	// was accepted; also right after both controllers came back.
 	story(t, func(t *testing.T, w *world) {
@@ -425,6 +430,7 @@
 }
 
 func TestJobsOfOneTaskFourASecondForTwoMinutes(t *testing.T) {
+	t.Parallel()
 	// Guards against jobs that starve or stay without an answer under a steady rate of
 	// small ones, a quarter of them cancelled, with a change of leader in the middle.
 	for seed := range uint64(2) {
