--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -79,6 +79,31 @@
 	WriteRPS float64 `toml:"write_rps"`
 	ValueKB  float64 `toml:"value_kb"`
 	TxnOps   int     `toml:"txn_ops"`
+	// Next is what the limits will be from some moment on, without notice.
+	Next *State `toml:"next"`
+	// NowKB is the limit of values until then.
+	NowKB float64 `toml:"-"`
+}
+
+// settle makes the limits hold now and later: whatever is written fits both before
+// the moment can come. Next's own fields may be missing.
+func (s *State) settle() {
+	s.NowKB = s.ValueKB
+	n := s.Next
+	if n == nil {
+		return
+	}
+	lower := func(v *float64, next float64) {
+		if next > 0 {
+			*v = min(*v, next)
+		}
+	}
+	lower(&s.RPS, n.RPS)
+	lower(&s.WriteRPS, n.WriteRPS)
+	lower(&s.ValueKB, n.ValueKB)
+	if n.TxnOps > 0 {
+		s.TxnOps = min(s.TxnOps, n.TxnOps)
+	}
 }
 
 // Cloud holds the cloud's limits.
@@ -159,7 +184,11 @@
 		return nil, err
 	}
 	s.Own = Defaults()
-	return s, s.check()
+	if err := s.check(); err != nil {
+		return s, err
+	}
+	s.Params.State.settle()
+	return s, nil
 }
 
 func (s *Settings) check() error {
@@ -239,6 +268,18 @@
 	if p.Cloud.ListLagS < 0 || p.ClockErrorMs < 0 {
 		return errors.New("params.cloud.list_lag_s, params.clock_error_ms: must be zero or more")
 	}
+	if n := p.State.Next; n != nil {
+		for _, f := range []field{
+			{"params.state.next.rps", n.RPS}, {"params.state.next.write_rps", n.WriteRPS}, {"params.state.next.value_kb", n.ValueKB},
+		} {
+			if !(f.v >= 0) || math.IsInf(f.v, 0) {
+				return fmt.Errorf("%s: below zero or no number: %v", f.name, f.v)
+			}
+		}
+		if n.TxnOps < 0 || n.TxnOps > 0 && n.TxnOps < 4 {
+			return fmt.Errorf("params.state.next.txn_ops: a takeover needs at least 4, not %d", n.TxnOps)
+		}
+	}
 	if p.State.TxnOps < 4 {
 		return fmt.Errorf("params.state.txn_ops: a takeover needs at least 4, not %d", p.State.TxnOps)
 	}
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -42,6 +42,10 @@
 	// refused are the callers that alone are refused, and since which epoch.
 	refused map[string]uint64
 	slow    time.Duration
+	value   int // the largest value, and the most changes of a transaction; 0: any
+	ops     int
+	// TooLarge counts transactions that were over these limits.
+	TooLarge int
 	// Keep is how many changes it remembers.
 	Keep int
 }
@@ -81,6 +85,13 @@
 	}
 }
 
+// SetLimits limits values, in bytes, and the changes of a transaction, without notice.
+func (s *Store) SetLimits(value, ops int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.value, s.ops = value, ops
+}
+
 // SetSlow has every call but watches take d longer, half before it is carried out.
 func (s *Store) SetSlow(d time.Duration) {
 	s.mu.Lock()
@@ -250,6 +261,15 @@
 		reply(w, 400, map[string]string{"error": err.Error()})
 		return
 	}
+	large := s.ops > 0 && len(in.Then) > s.ops
+	for _, op := range in.Then {
+		large = large || s.value > 0 && len(op.Value) > s.value
+	}
+	if large {
+		s.TooLarge++
+		reply(w, 400, map[string]string{"error": "too large"})
+		return
+	}
 	failed := []string{}
 	for _, c := range in.When {
 		var have uint64
