--- a/internal/claim/aside.go
+++ b/internal/claim/aside.go
@@ -16,7 +16,7 @@
 // starves tells whether a job has waited so long for its first start that it goes
 // ahead of all but critical work.
 func (j *Job) starves(now time.Time) bool {
-	return j.Rec.Attempt == 0 && now.Sub(j.Rec.Submitted.Time()) > starving
+	return j.Rec.Attempt == 0 && now.Sub(j.Rec.since().Time()) > starving
 }
 
 // Machines are set aside for asideFor at most; others are looked for again after
@@ -32,7 +32,7 @@
 // work stops others instead; but on the dearest machines all work may be high: each
 // that ends is followed by a gang of one, and one that needs two at once never begins.
 func (j *Job) wantsAside(n int, now time.Time) bool {
-	if j.Rec.Spec.Priority >= High && (n < 2 || j.Rec.Spec.Shape != Gang) {
+	if j.priority() >= High && (n < 2 || j.Rec.Spec.Shape != Gang) {
 		return false
 	}
 	return !j.suspect() && j.starves(now) && now.Sub(j.aside) >= asideAgain
@@ -99,7 +99,7 @@
 		return false
 	}
 	until := now.Add(asideFor)
-	if j.Rec.Spec.Priority >= High {
+	if j.priority() >= High {
 		until = now.Add(2 * asideFor) // what runs there runs long
 	}
 	for _, c := range cs[:n] {
--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -75,6 +75,7 @@
 	width          struct {
 		places float64 // bytes that a place took when last stored
 		rest   int     // and all the rest of the record
+		first  int     // and the description alone
 	}
 	odd        bool // a finished task may still have a place
 	dirtySince time.Time
@@ -83,6 +84,7 @@
 	failed     failures
 	lost       losses
 	aside      time.Time // when machines to set aside were last looked for
+	urged      urge      // by jobs that need it
 }
 
 func (j *Job) left() int { return j.Rec.Spec.Tasks - j.Rec.Finished.Len() }
@@ -157,6 +159,7 @@
 	dark         map[string]bool      // zones of which nothing was heard at the last look
 	boots        map[string]*boots    // by type
 	owed         map[string]owing     // by team
+	pipes        pipelines
 
 	// Storing tells whether the state service has answered just now. While it
 	// does not, nothing that is stopped could be started again, so nothing is
@@ -192,6 +195,7 @@
 		dark:         map[string]bool{},
 		boots:        map[string]*boots{},
 		owed:         map[string]owing{},
+		pipes:        newPipelines(),
 		Storing:      func() bool { return true },
 		Starting:     func() (bool, time.Time) { return true, time.Now() },
 		wakeCommit:   make(chan struct{}, 1), wakePlan: make(chan struct{}, 1),
@@ -294,6 +298,7 @@
 	for _, i := range sortedTasks(j.places) {
 		b.stop(j.places[i], 0, "cancelled")
 	}
+	b.doomNeeders(j.Rec.Spec.ID, j.Rec.Spec.ID)
 	b.finishIfOver(j)
 }
 
--- a/internal/claim/commit.go
+++ b/internal/claim/commit.go
@@ -48,6 +48,8 @@
 
 type pending struct {
 	job     *Job
+	wait    *waiting // instead of a job: one that waits moves on
+	moved   *Record  // what it becomes
 	version uint64
 	over    bool
 	ops     []state.Op
@@ -99,7 +101,7 @@
 		answered := time.Now()
 		b.mu.Lock()
 		for _, p := range group {
-			if answered.Sub(began) > slowAnswer {
+			if answered.Sub(began) > slowAnswer && p.job != nil {
 				p.job.reread = answered
 			}
 			b.stored(p, ids.Stamp(epoch))
@@ -168,7 +170,7 @@
 		if a.urgent != z.urgent {
 			return a.urgent
 		}
-		if pa, pz := a.Rec.Spec.Priority, z.Rec.Spec.Priority; pa != pz {
+		if pa, pz := a.priority(), z.priority(); pa != pz {
 			return pa > pz
 		}
 		return earlier(a, z) < 0
@@ -177,6 +179,15 @@
 	limit := int(b.set.Params.State.ValueKB * 1024)
 	var group []pending
 	ops, size := 0, 256
+	add := func(p pending) bool {
+		if ops+len(p.ops) > maxOps || size+p.size > 60*1024 {
+			return false
+		}
+		ops, size = ops+len(p.ops), size+p.size
+		group = append(group, p)
+		return true
+	}
+	c.waitingOnes(false, add)
 	for _, j := range dirty {
 		p := pending{job: j, version: j.version, over: j.Rec.Status.Over()}
 		rec := j.Rec
@@ -190,7 +201,7 @@
 			continue
 		}
 		if !p.over {
-			j.measured(rec.Places, len(raw))
+			j.measured(rec.Places, len(raw)-yielding(rec.Trail))
 		}
 		id := j.Rec.Spec.ID
 		p.conds = append(p.conds, state.Cond{Key: JobKey(id), Stamp: j.stamp})
@@ -201,16 +212,15 @@
 			p.ops = append(p.ops, state.Op{Put: JobKey(id), Value: raw})
 		}
 		p.size = len(raw) + 200
-		if ops+len(p.ops) > maxOps || size+p.size > 60*1024 {
+		if !add(p) {
 			break
 		}
-		ops, size = ops+len(p.ops), size+p.size
-		group = append(group, p)
 	}
+	c.waitingOnes(true, add) // told as cancelled already: these can wait
 	return group
 }
 
-// measured notes what a record's places took of it.
+// measured notes what a record's places took of it, and what the rest that can't give way did.
 func (j *Job) measured(places []placeRec, size int) {
 	if n := len(j.places); n > 0 {
 		took := placesSize(places)
@@ -218,6 +228,15 @@
 	}
 }
 
+// yielding is about how many bytes the trail would give up for places: all but the
+// last lines.
+func yielding(trail []Event) (n int) {
+	for i := range trail[:max(0, len(trail)-2)] {
+		n += len(trail[i].What) + 35
+	}
+	return n
+}
+
 // unplaceable gives up places whose marker does not fit into a value: without
 // one nothing of them may start, and they must not hold room for ever. From
 // then on fewer tasks of the job are claimed at a time.
@@ -239,11 +258,16 @@
 
 // stored takes in that a version is in the store.
 func (b *Book) stored(p pending, stamp ids.Stamp) {
+	if p.wait != nil {
+		b.movedOn(p, stamp, time.Now())
+		return
+	}
 	j := p.job
 	j.stamp = max(j.stamp, stamp) // a cancel may be known that was stored after it
 	j.saved = max(j.saved, p.version)
 	b.settledUpTo(j)
 	if p.over {
+		b.finally(j.Rec.Spec.ID, j.Rec.Status)
 		b.forget(j)
 	}
 }
@@ -326,6 +350,12 @@
 		return
 	}
 	for _, p := range group {
+		if p.wait != nil {
+			if conflict.Has(WaitKey(p.wait.id())) && !c.repairMove(ctx, p) {
+				return
+			}
+			continue
+		}
 		id := p.job.Rec.Spec.ID
 		if !conflict.Has(JobKey(id)) && !conflict.Has(EndKey(id)) {
 			continue
--- a/internal/claim/hosts.go
+++ b/internal/claim/hosts.go
@@ -172,7 +172,7 @@
 		b.holders(s.Image)[h] = true
 	}
 	u.tasks++
-	u.top = max(u.top, s.Priority)
+	u.top = max(u.top, p.Job.priority())
 }
 
 func (b *Book) arrived(h *host, p *Place) {
@@ -249,7 +249,7 @@
 	p.Holds = m.Images.Has(s.Image)
 	p.Warm = p.Holds || h.pulls[s.Image] != nil
 	for img, u := range h.pulls {
-		if u.top >= High && u.top > s.Priority && !m.Images.Has(img) {
+		if u.top >= High && u.top > j.priority() && !m.Images.Has(img) {
 			p.Hush = true
 		}
 		if m.Images.Has(img) {
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -109,7 +109,7 @@
 		// running one to end is longer than a boot and a fetch.
 		return b.fresh(&j.Rec.Spec)
 	}
-	if j.guaranteed || j.Rec.Spec.Priority >= High {
+	if j.guaranteed || j.priority() >= High {
 		return 10
 	}
 	s := &j.Rec.Spec
@@ -117,6 +117,9 @@
 	if s.Due > 0 {
 		due = float64(s.Due)
 	}
+	if by := j.urged.by; !by.IsZero() {
+		due = min(due, time.Until(by).Seconds())
+	}
 	for _, o := range b.set.Params.Objectives {
 		if o.Class == s.Class && o.Kind == "finished" {
 			due = min(due, float64(o.WithinS))
@@ -227,7 +230,7 @@
 		g.zone = ask.Zone
 		if _, ok := at[g]; !ok {
 			at[g] = len(ds)
-			ds = append(ds, placement.Demand{Ask: ask, Spread: s.Spread, Together: g.job != "" && ask.Zone == "", Preempt: s.Priority >= High, TurnShare: turn})
+			ds = append(ds, placement.Demand{Ask: ask, Spread: s.Spread, Together: g.job != "" && ask.Zone == "", Preempt: j.priority() >= High, TurnShare: turn})
 		}
 		sums[g] += slots
 	}
--- /dev/null
+++ b/internal/claim/pipeline_test.go
@@ -0,0 +1,320 @@
+package claim_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/fake"
+)
+
+// after is a job's description that awaits others.
+func awaiting(s map[string]any, jobs ...string) map[string]any {
+	s["awaits"] = jobs
+	return s
+}
+
+// ends lets every task of a job that is on a machine complete.
+func (w *world) ends(job string) {
+	for _, k := range w.workers {
+		for _, task := range k.Live() {
+			if strings.HasPrefix(task, job+"/") {
+				k.End(task, "done")
+			}
+		}
+	}
+}
+
+func (w *world) both(id, status string) bool {
+	return w.status("a", id) == status && w.status("b", id) == status
+}
+
+func TestADiamondRunsInItsOrderAcrossTakeovers(t *testing.T) {
+	// Guards against a start before the ends of all needed jobs are stored, and against
+	// an end that is lost to those that await it: the leader ends, or loses the state
+	// service alone, right as a stage does.
+	for name, trouble := range map[string]func(w *world){
+		"none": func(*world) {},
+		"the leader ends": func(w *world) {
+			if o := w.owner(); o != nil {
+				o.kill()
+				time.Sleep(300 * time.Millisecond)
+				w.start(o.name)
+			}
+		},
+		"the leader is refused": func(w *world) {
+			if o := w.owner(); o != nil {
+				w.store.Refuse(o.name, true)
+				time.AfterFunc(9*time.Second, func() { w.store.Refuse(o.name, false) })
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			story(t, func(t *testing.T, w *world) {
+				w.start("a")
+				w.start("b")
+				w.worker("m1", "north")
+				w.worker("m2", "south")
+				time.Sleep(10 * time.Second)
+				w.submit("a", spec("job-1", "array", 2))
+				w.submit("b", awaiting(spec("job-2", "array", 2), "job-1"))
+				w.submit("a", awaiting(spec("job-3", "gang", 2), "job-1", "job-1"))
+				w.submit("b", awaiting(spec("job-4", "array", 1), "job-2", "job-3"))
+				w.until(5*time.Second, "the first runs", func() bool { return w.everywhere("job-1", 2) })
+				w.hold(4*time.Second, "the others wait", func() bool {
+					return w.both("job-2", "pending") && w.both("job-4", "pending") && len(w.on("job-2/0"))+len(w.on("job-3/0")) == 0
+				})
+				w.ends("job-1")
+				trouble(w)
+				w.until(40*time.Second, "the second stage runs", func() bool { return w.everywhere("job-2", 2) && w.everywhere("job-3", 2) })
+				w.ends("job-2")
+				trouble(w)
+				w.hold(15*time.Second, "the last waits for both", func() bool { return len(w.on("job-4/0")) == 0 })
+				w.ends("job-3")
+				trouble(w)
+				w.until(40*time.Second, "the last runs", func() bool { return w.everywhere("job-4", 1) })
+				w.ends("job-4")
+				w.until(20*time.Second, "all done", func() bool {
+					return w.both("job-1", "done") && w.both("job-2", "done") && w.both("job-3", "done") && w.both("job-4", "done")
+				})
+				// What is submitted when those it awaits are over starts at once.
+				w.submit("a", awaiting(spec("job-5", "array", 1), "job-4", "job-1"))
+				w.until(15*time.Second, "it runs", func() bool { return w.everywhere("job-5", 1) })
+				if code, out := w.call("b", "POST", "/v2/runs", awaiting(spec("job-4", "array", 1), "job-99")); code != 200 || out["status"] != "done" {
+					t.Errorf("a repeat of an accepted job got %d %v", code, out)
+				}
+			})
+		})
+	}
+}
+
+func TestACancellationGoesDownAPipeline(t *testing.T) {
+	// Guards against a job that waits for ever, or starts, after one that it needs was
+	// cancelled, wherever in its life that was; and against nodes that disagree.
+	for name, cancel := range map[string]func(w *world) string{
+		"running": func(w *world) string { return w.insistOn("job-1") },
+		"at its end": func(w *world) string {
+			w.ends("job-1")
+			return w.insistOn("job-1")
+		},
+		"while the leader is refused": func(w *world) string {
+			o := w.owner()
+			w.store.Refuse(o.name, true)
+			time.AfterFunc(8*time.Second, func() { w.store.Refuse(o.name, false) })
+			return w.insistOn("job-1")
+		},
+		"as the leader ends": func(w *world) string {
+			o := w.owner()
+			o.kill()
+			time.AfterFunc(3*time.Second, func() { w.start(o.name) })
+			return w.insistOn("job-1")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			story(t, func(t *testing.T, w *world) {
+				w.start("a")
+				w.start("b")
+				w.worker("m1", "north")
+				w.worker("m2", "south")
+				time.Sleep(10 * time.Second)
+				w.submit("a", spec("job-1", "array", 1))
+				last := "job-1"
+				var chain []string
+				for i := 2; i < 12; i++ { // a long chain, and a wide fan at its end
+					id := fmt.Sprintf("job-%d", i)
+					w.submit("b", awaiting(spec(id, "array", 1), last))
+					chain, last = append(chain, id), id
+				}
+				for i := 20; i < 40; i++ {
+					id := fmt.Sprintf("job-%d", i)
+					w.submit("a", awaiting(spec(id, "array", 1), last, "job-1"))
+					chain = append(chain, id)
+				}
+				w.until(5*time.Second, "the first runs", func() bool { return w.everywhere("job-1", 1) })
+				var wg sync.WaitGroup
+				wg.Go(func() { // a submission that races with the cancellation
+					time.Sleep(15 * time.Millisecond)
+					for range 20 {
+						if code, _ := w.call("b", "POST", "/v2/runs", awaiting(spec("job-50", "array", 1), "job-1")); code == 200 || code == 201 {
+							return
+						}
+						time.Sleep(time.Second)
+					}
+				})
+				// Whoever reads the records can tell, before any of the ends is stored.
+				w.net.SetRule(func(_, _ string, r *http.Request, body []byte) fake.Fate {
+					if r.URL.Path == "/commit" && strings.Contains(string(body), `"remove":"job/wait/`) {
+						return fake.Refuse
+					}
+					return fake.Deliver
+				})
+				how := cancel(w)
+				if how != "done" {
+					w.until(2*time.Second, "all that follow are told as cancelled", func() bool {
+						for _, id := range slices.Backward(chain) { // the last first: no answer may rest on another
+							if w.status("a", id) != "cancelled" && w.status("b", id) != "cancelled" {
+								return false
+							}
+						}
+						return true
+					})
+				}
+				w.net.SetRule(nil)
+				wg.Wait()
+				if how == "done" {
+					w.until(30*time.Second, "the next one goes on", func() bool { return w.everywhere("job-2", 1) })
+					return
+				}
+				w.until(25*time.Second, "all that follow are cancelled at both nodes", func() bool {
+					for _, id := range append(chain, "job-50") {
+						if !w.both(id, "cancelled") {
+							return false
+						}
+					}
+					return true
+				})
+				w.submit("a", awaiting(spec("job-60", "array", 1), "job-11"))
+				if !w.both("job-60", "cancelled") {
+					t.Error("a job that names a cancelled one is not cancelled")
+				}
+				w.until(60*time.Second, "their ends are stored", func() bool { return w.store.Count("job/") == 0 })
+				w.hold(30*time.Second, "and nothing of them starts", func() bool { return len(w.on("job-2/0"))+len(w.on("job-50/0"))+len(w.on("job-30/0")) == 0 })
+				if code, out := w.call("a", "GET", "/v2/runs/job-30/explain", nil); code != 200 || !strings.Contains(fmt.Sprint(out["trail"]), "job-1, which was cancelled") {
+					t.Errorf("explained as %v", out)
+				}
+			})
+		})
+	}
+}
+
+// insistOn cancels a job as its user does, until it is answered.
+func (w *world) insistOn(job string) string {
+	for range 40 {
+		for _, n := range []string{"a", "b"} {
+			if code, out := w.call(n, "POST", "/v2/runs/"+job+"/cancel", nil); code == 200 {
+				return fmt.Sprint(out["status"])
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	w.t.Errorf("the cancellation of %s is not answered", job)
+	return ""
+}
+
+func TestAnEndThatOnlyTheLeaderKnowsStartsNothing(t *testing.T) {
+	// Guards against a next stage that starts on an outcome not stored yet: another node
+	// may confirm a cancellation first, or the leader may end.
+	story(t, func(t *testing.T, w *world) {
+		w.start("a")
+		w.start("b")
+		w.worker("m1", "north")
+		time.Sleep(10 * time.Second)
+		w.submit("a", spec("job-1", "array", 1))
+		w.submit("b", awaiting(spec("job-2", "array", 1), "job-1"))
+		w.until(5*time.Second, "the first runs", func() bool { return w.everywhere("job-1", 1) })
+		w.net.SetRule(func(_, _ string, r *http.Request, body []byte) fake.Fate {
+			if kind(r, body) == "outcome" {
+				return fake.Refuse
+			}
+			return fake.Deliver
+		})
+		w.ends("job-1")
+		w.hold(10*time.Second, "the next waits", func() bool { return w.worn("m1").Started("job-2/0") == 0 && w.both("job-2", "pending") })
+		how := w.insistOn("job-1")
+		w.net.SetRule(nil)
+		if how != "cancelled" {
+			t.Fatalf("the cancellation is answered %q", how)
+		}
+		w.hold(20*time.Second, "and is cancelled with it", func() bool { return w.worn("m1").Started("job-2/0") == 0 && w.both("job-2", "cancelled") })
+	})
+}
+
+func TestACancelledJobInTheMiddleLeavesTheOthersAlone(t *testing.T) {
+	story(t, func(t *testing.T, w *world) {
+		w.start("a")
+		w.start("b")
+		w.worker("m1", "north")
+		time.Sleep(10 * time.Second)
+		w.submit("a", spec("job-1", "array", 1))
+		w.submit("a", awaiting(spec("job-2", "array", 1), "job-1"))
+		w.submit("b", awaiting(spec("job-3", "array", 1), "job-1"))
+		w.submit("b", awaiting(spec("job-4", "array", 1), "job-2", "job-3"))
+		if how := w.insistOn("job-2"); how != "cancelled" {
+			t.Fatalf("a job that waits is called %q when cancelled", how)
+		}
+		if !w.both("job-4", "cancelled") || !w.both("job-3", "pending") {
+			t.Errorf("the last is %s, the other branch %s", w.status("a", "job-4"), w.status("a", "job-3"))
+		}
+		w.until(5*time.Second, "the first runs", func() bool { return w.everywhere("job-1", 1) })
+		w.ends("job-1")
+		w.until(10*time.Second, "the other branch runs", func() bool { return w.everywhere("job-3", 1) })
+		w.hold(20*time.Second, "the cancelled ones do not", func() bool { return len(w.on("job-2/0"))+len(w.on("job-4/0")) == 0 })
+	})
+}
+
+func TestNamesThatWereNeverAcceptedAreRefused(t *testing.T) {
+	story(t, func(t *testing.T, w *world) {
+		w.start("a")
+		w.start("b")
+		time.Sleep(10 * time.Second)
+		w.submit("a", spec("job-1", "array", 1))
+		w.submit("a", spec("job-2", "standing", 1))
+		n := 10
+		for _, c := range []struct {
+			awaits any
+			want   int
+		}{
+			{[]string{"job-404"}, 422}, {[]string{"job-1", "job-404"}, 422}, {[]string{"job-11"}, 422}, {[]string{"job-2"}, 422},
+			{"job-1", 400}, {[]any{1}, 400}, {[]string{"run-1"}, 400}, {map[string]any{}, 400},
+			{nil, 201}, {[]string{}, 201}, {[]string{"job-1", "job-1"}, 201},
+		} {
+			n++
+			s := spec(fmt.Sprintf("job-%d", n), "array", 1)
+			s["awaits"] = c.awaits
+			if n == 13 {
+				s["awaits"] = []string{"job-13"} // itself was never accepted either
+			}
+			for i, node := range []string{"a", "b"} {
+				code, out := w.call(node, "POST", "/v2/runs", s)
+				if want := c.want; code != want && !(i == 1 && want == 201 && code == 200) {
+					t.Errorf("%s answers %d %v, not %d, to awaits %v", node, code, out, want, s["awaits"])
+				}
+			}
+		}
+		w.net.SetRule(nil)
+		w.store.SetDown(true)
+		if code, _ := w.call("a", "POST", "/v2/runs", awaiting(spec("job-90", "array", 1), "job-404")); code != 503 {
+			t.Errorf("what can't be decided now gets %d", code)
+		}
+		w.store.SetDown(false)
+	})
+}
+
+func TestAJobThatWaitsHoldsNothing(t *testing.T) {
+	// Guards against waiting jobs that take part of their team's limit, or start when
+	// there is room for them, and against reasons that do not name what they wait for.
+	story(t, func(t *testing.T, w *world) {
+		w.start("a")
+		w.start("b")
+		w.worker("m1", "north")
+		w.worker("m2", "north")
+		time.Sleep(10 * time.Second)
+		w.submit("a", spec("job-1", "array", 1))
+		for i := range 30 {
+			s := spec(fmt.Sprintf("job-%d", 100+i), "array", 8)
+			s["dueS"] = 30
+			w.submit("b", awaiting(s, "job-1"))
+		}
+		w.submit("a", spec("job-2", "array", 7)) // with job-1 all that the team may have
+		w.until(5*time.Second, "those that wait for nobody run", func() bool { return w.everywhere("job-1", 1) && w.everywhere("job-2", 7) })
+		time.Sleep(25 * time.Second)
+		_, out := w.call("b", "GET", "/v2/runs/job-100/explain", nil)
+		if now := fmt.Sprint(out["now"]); !strings.Contains(now, "awaits job-1: running") || !strings.Contains(now, "at risk") {
+			t.Errorf("explained as %v", out)
+		}
+	})
+}
--- a/internal/claim/pool.go
+++ b/internal/claim/pool.go
@@ -84,7 +84,11 @@
 	p.jobs = state.NewMirror(c, JobPrefix, 400*time.Millisecond)
 	p.readAt = p.jobs.AsOf
 	p.jobs.OnChange = func(ch state.Change) {
-		id := ids.Job(strings.TrimPrefix(ch.Key(), JobPrefix))
+		id, waits := keyed(ch.Key())
+		if waits {
+			p.learnWaiting(id, ch)
+			return
+		}
 		if ch.Put == "" {
 			p.Learn(id, ch.Stamp, nil)
 			return
@@ -180,6 +184,7 @@
 		go func() { defer t.done.Done(); f(ctx) }()
 	}
 	run(t.Committer.Run)
+	run(t.Committer.lookUps)
 	run(t.Dispatcher.Run)
 	run(t.plan)
 	if p.OnTerm != nil {
@@ -245,6 +250,19 @@
 	p.State.Budget().SetOwner(false)
 }
 
+// learnWaiting passes on news of a job that awaits others, if this node owns the pool.
+func (p *Pool) learnWaiting(id ids.Job, ch state.Change) {
+	b := p.Book()
+	if b == nil {
+		return
+	}
+	if ch.Put == "" {
+		b.LearnWaiting(id, ch.Stamp, nil, time.Now())
+	} else if rec, err := DecodeWaiting(ch.Value); err == nil {
+		b.LearnWaiting(id, ch.Stamp, rec, time.Now())
+	}
+}
+
 // Learn passes on what another controller wrote, if this node owns the pool.
 func (p *Pool) Learn(id ids.Job, stamp ids.Stamp, rec *Record) {
 	if b := p.Book(); b != nil {
--- a/internal/claim/preempt.go
+++ b/internal/claim/preempt.go
@@ -30,7 +30,7 @@
 }
 
 func (j *Job) preyKey(ask *placement.Ask) preyKey {
-	k := preyKey{priority: j.Rec.Spec.Priority, guaranteed: j.guaranteed, fullKey: keyOf(ask)}
+	k := preyKey{priority: j.priority(), guaranteed: j.guaranteed, fullKey: keyOf(ask)}
 	if j.guaranteed {
 		k.team = j.Rec.Spec.Team
 	}
@@ -100,7 +100,7 @@
 		// Only lesser work: to swap one replica for another, as a guarantee
 		// would allow, gains nothing here and costs the other its start.
 		return m.Holds && len(victims) > 0 && !slices.ContainsFunc(victims, func(v *Place) bool {
-			return v.leewayWanted() > 0 || v.Job.Rec.Spec.Shape == Service || v.Job.Rec.Spec.Priority >= j.Rec.Spec.Priority
+			return v.leewayWanted() > 0 || v.Job.Rec.Spec.Shape == Service || v.Job.priority() >= j.priority()
 		})
 	})
 	return host
@@ -129,7 +129,7 @@
 	if j.suspect() {
 		return false, "", false // nothing is stopped for what may fail anyway
 	}
-	if j.Rec.Spec.Priority < High && !j.guaranteed || !b.Storing() {
+	if j.priority() < High && !j.guaranteed || !b.Storing() {
 		return false, "", true
 	}
 	now := ps.now
@@ -185,10 +185,10 @@
 	grace := ids.Seconds(0)
 	for _, v := range bestVictims {
 		lee := v.leewayWanted()
-		if j.Rec.Spec.Priority == Critical && v.littleToSave(now) {
+		if j.priority() == Critical && v.littleToSave(now) {
 			lee = 0
 		}
-		b.stop(v, lee, fmt.Sprintf("to make room for %s (%s)", j.Rec.Spec.ID, j.Rec.Spec.Priority))
+		b.stop(v, lee, fmt.Sprintf("to make room for %s (%s)", j.Rec.Spec.ID, j.priority()))
 		grace = max(grace, v.leeway)
 	}
 	b.reserved[best.name] = reservation{job: j.Rec.Spec.ID, need: ask.Need, made: now, until: now.Add((grace + 10).Duration())}
@@ -234,9 +234,9 @@
 			cs = append(cs, cand{p, p.lossIfStopped(now)})
 		}
 	}
-	hurry := j.Rec.Spec.Priority == Critical
+	hurry := j.priority() == Critical
 	sort.Slice(cs, func(x, y int) bool {
-		a, z := cs[x].p.Job.Rec.Spec.Priority, cs[y].p.Job.Rec.Spec.Priority
+		a, z := cs[x].p.Job.priority(), cs[y].p.Job.priority()
 		// Critical work does not wait for others to save.
 		if sx, sy := cs[x].p.leewayWanted(), cs[y].p.leewayWanted(); hurry && sx != sy {
 			return sx < sy
@@ -279,7 +279,7 @@
 // withheld is what a job must leave of its team's limit to one that goes first.
 func (b *Book) withheld(j *Job, now time.Time) placement.Room {
 	o, ok := b.owed[j.Rec.Spec.Team]
-	if !ok || o.job == j || !o.until.After(now) || !o.job.claimable() || j.Rec.Spec.Priority >= o.job.Rec.Spec.Priority {
+	if !ok || o.job == j || !o.until.After(now) || !o.job.claimable() || j.priority() >= o.job.priority() {
 		return placement.Room{}
 	}
 	return o.need
@@ -290,7 +290,7 @@
 // already counts as making way.
 func (b *Book) yield(j *Job, n int, now time.Time) bool {
 	s := &j.Rec.Spec
-	if s.Priority < High || !b.Storing() || j.suspect() {
+	if j.priority() < High || !b.Storing() || j.suspect() {
 		return false
 	}
 	t, _ := b.set.Team(s.Team)
@@ -315,7 +315,7 @@
 		if o.Rec.Spec.Team != s.Team {
 			continue
 		}
-		if o.Rec.Spec.Priority >= s.Priority {
+		if o.priority() >= j.priority() {
 			left = left.Minus(o.Rec.Spec.Need.Times(float64(len(o.places))))
 			continue
 		}
@@ -332,7 +332,7 @@
 	}
 	sort.Slice(victims, func(x, y int) bool {
 		a, z := victims[x], victims[y]
-		if pa, pz := a.Job.Rec.Spec.Priority, z.Job.Rec.Spec.Priority; pa != pz {
+		if pa, pz := a.Job.priority(), z.Job.priority(); pa != pz {
 			return pa < pz
 		}
 		if la, lz := a.lossIfStopped(now), z.lossIfStopped(now); la != lz {
@@ -347,7 +347,7 @@
 		need := p.Job.Rec.Spec.Need
 		if (over.Cores > 0 && need.Cores > 0) || (over.Accels > 0 && need.Accels > 0) {
 			over = over.Minus(need)
-			b.stop(p, p.leewayWanted(), fmt.Sprintf("its team is at its limit and %s (%s) goes first", s.ID, s.Priority))
+			b.stop(p, p.leewayWanted(), fmt.Sprintf("its team is at its limit and %s (%s) goes first", s.ID, j.priority()))
 		}
 	}
 	return over.Cores <= 0 && over.Accels <= 0
@@ -359,7 +359,7 @@
 }
 
 func (b *Book) mayStopJob(v, j *Job) bool {
-	if v.Rec.Spec.Priority < j.Rec.Spec.Priority {
+	if v.priority() < j.priority() {
 		return true
 	}
 	if !j.guaranteed || v.guaranteed || v.Rec.Spec.Team == j.Rec.Spec.Team {
--- /dev/null
+++ b/internal/claim/production_test.go
@@ -0,0 +1,112 @@
+package claim
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+)
+
+// The files in testdata/production were written by the version that deploy/service.toml
+// names as production. While the service is upgraded both versions work on the same
+// records, and the leader may be of either.
+
+func golden(t *testing.T, name string) []byte {
+	t.Helper()
+	raw, err := os.ReadFile(filepath.Join("testdata/production", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+func sameJSON(t *testing.T, name string, raw, want []byte) {
+	t.Helper()
+	var a, b any
+	if err := json.Unmarshal(raw, &a); err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(want, &b); err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(a, b) {
+		t.Errorf("%s is written back as\n%s, not\n%s", name, raw, want)
+	}
+}
+
+func TestRecordsOfTheProductionVersionAreReadAndWrittenBackAlike(t *testing.T) {
+	// Guards against a field that one version drops, renames or reads otherwise: what
+	// production wrote comes back to the letter, with every place in its place.
+	for _, name := range []string{"queued.json", "claimed.json", "cancelling.json", "done.json"} {
+		want := golden(t, name)
+		r, err := Decode(want)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		raw, ok := r.Encode(8192)
+		if !ok {
+			t.Fatal(name)
+		}
+		sameJSON(t, name, raw, want)
+		// Through the book of a new leader as well.
+		if r.Status.Over() {
+			continue
+		}
+		b := testBook()
+		b.Load(map[ids.Job]*Record{"job-1": r}, map[ids.Job]ids.Stamp{"job-1": 3}, 3, time.Now())
+		j := b.jobs["job-1"]
+		back := j.Rec
+		back.Places = packPlaces(j.places)
+		raw, _ = back.Encode(8192)
+		sameJSON(t, name+" through the book", raw, want)
+	}
+	for name, v := range map[string]any{"owner.json": &ownerRec{}, "generation.json": &generationRec{}} {
+		want := golden(t, name)
+		if err := json.Unmarshal(want, v); err != nil {
+			t.Fatal(err)
+		}
+		raw, _ := json.Marshal(v)
+		sameJSON(t, name, raw, want)
+	}
+}
+
+func TestTheProductionVersionFindsWhatItNeeds(t *testing.T) {
+	// Guards against records that an old leader would take for something else. One that
+	// awaits others it must pass over: it would start it at once, and drop what it awaits.
+	r := rec("job-2", "blue", Normal, 4, 1)
+	r.Spec.Awaits = []ids.Job{"job-1"}
+	raw, ok := r.EncodeWaiting(8192)
+	var old map[string]any // any type that reads objects only, as production's does
+	if err := json.Unmarshal(raw, &old); !ok || err == nil {
+		t.Errorf("a waiting job's record reads as an object: %s", raw)
+	}
+	if back, err := DecodeWaiting(raw); err != nil || back.Spec.Awaits[0] != "job-1" {
+		t.Errorf("read back as %v, %v", back, err)
+	}
+	if _, err := Decode(raw); err == nil {
+		t.Error("a waiting job's record is taken for a claimable one's")
+	}
+	// Once it awaits nothing any more, only fields are new that may be lost.
+	r.Ready = 1700000000000
+	raw, _ = r.Encode(8192)
+	if err := json.Unmarshal(raw, &old); err != nil {
+		t.Fatal(err)
+	}
+	delete(old, "ready")
+	delete(old["spec"].(map[string]any), "awaits")
+	var known map[string]any
+	if err := json.Unmarshal(golden(t, "claimed.json"), &known); err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []struct{ got, want map[string]any }{{old, known}, {old["spec"].(map[string]any), known["spec"].(map[string]any)}} {
+		for f := range part.got {
+			if _, ok := part.want[f]; !ok {
+				t.Errorf("production knows no field %q", f)
+			}
+		}
+	}
+}
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -24,6 +24,7 @@
 	HirePrefix    = "pool/hire/"
 	JobPrefix     = "job/"
 	EndPrefix     = "end/"
+	WaitPrefix    = "job/wait/"
 )
 
 // JobKey and EndKey are a job's live record and, once it is over, its last.
@@ -77,6 +78,8 @@
 	Checkpoint ids.Seconds    `json:"checkpoint,omitempty"`
 	Save       ids.Seconds    `json:"save,omitempty"`
 	Due        ids.Seconds    `json:"due,omitempty"`
+	// Awaits are the jobs that must be done before any task starts.
+	Awaits []ids.Job `json:"awaits,omitempty"`
 }
 
 // Ask is what placement needs to know of one of its tasks.
@@ -202,14 +205,16 @@
 
 // Record is a job as the state service keeps it.
 type Record struct {
-	Spec      Spec           `json:"spec"`
-	Status    Status         `json:"status"`
-	Submitted ids.Wall       `json:"submitted"`
-	Attempt   ids.Attempt    `json:"attempt"`
-	Gen       ids.Generation `json:"generation"`
-	Finished  ids.Ranges     `json:"finished"`
-	Places    []placeRec     `json:"places,omitempty"`
-	Trail     []Event        `json:"trail,omitempty"`
+	Spec      Spec     `json:"spec"`
+	Status    Status   `json:"status"`
+	Submitted ids.Wall `json:"submitted"`
+	// Ready is when the last job that it awaited was done; zero without any.
+	Ready    ids.Wall       `json:"ready,omitempty"`
+	Attempt  ids.Attempt    `json:"attempt"`
+	Gen      ids.Generation `json:"generation"`
+	Finished ids.Ranges     `json:"finished"`
+	Places   []placeRec     `json:"places,omitempty"`
+	Trail    []Event        `json:"trail,omitempty"`
 	// FailedOn is on how many machines its tasks failed with none completed, so
 	// that a new owner need not find out again.
 	FailedOn int `json:"failedOn,omitempty"`
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"encoding/json"
 	"log/slog"
 	"slices"
 	"sort"
@@ -125,8 +126,8 @@
 	for i := range es {
 		j := es[i].j
 		s := &j.Rec.Spec
-		age := max(0, now.Sub(j.Rec.Submitted.Time()).Seconds())
-		p := s.Priority
+		age := max(0, now.Sub(j.Rec.since().Time()).Seconds())
+		p := j.priority()
 		// Waiting work rises one step at most, so that the lowest never starves.
 		if p == Low && age > 45 {
 			p = Normal
@@ -307,7 +308,7 @@
 			continue
 		}
 		at := v.pick(r)
-		if at != nil && s.Priority == Critical && !at.holds(b, s.Image) {
+		if at != nil && j.priority() == Critical && !at.holds(b, s.Image) {
 			// A fetch takes longer than stopping lesser work where the image
 			// is.
 			if host := b.roomWhereHeld(j, &ask, ps); host != "" {
@@ -385,7 +386,7 @@
 // longer next to one another, each takes the bytes of its number.
 func (b *Book) openLimit(j *Job) int {
 	value := b.set.Params.State.ValueKB * 1024
-	n := int((value*0.92 - 1500) / 40)
+	n := int((value*0.92 - min(1500, float64(j.described()))) / 40)
 	if w := j.width; w.places > 0 {
 		n = max(n, min(mostOpen, int((value*0.9-float64(w.rest))/(1.25*max(w.places, brokenUp)+1))))
 	}
@@ -395,6 +396,16 @@
 	return max(4, n)
 }
 
+// described is about how many bytes of a record a job takes before any of it is
+// placed: small values must not go to waste on a guess.
+func (j *Job) described() int {
+	if j.width.first == 0 {
+		raw, _ := json.Marshal(&j.Rec.Spec)
+		j.width.first = len(raw) + 400
+	}
+	return j.width.first
+}
+
 // brokenUp is about how many bytes a place takes at the least by then.
 const brokenUp = 5
 
@@ -421,7 +432,7 @@
 // outranks tells whether a reservation's job still goes before j.
 func (b *Book) outranks(id ids.Job, j *Job, now time.Time) bool {
 	h := b.jobs[id]
-	return h != nil && h.claimable() && (h.Rec.Spec.Priority >= j.Rec.Spec.Priority || h.starves(now) && j.Rec.Spec.Priority < Critical)
+	return h != nil && h.claimable() && (h.priority() >= j.priority() || h.starves(now) && j.priority() < Critical)
 }
 
 func (b *Book) place(j *Job, i int, a ids.Attempt, h *host, now time.Time) {
--- a/internal/claim/takeover.go
+++ b/internal/claim/takeover.go
@@ -144,18 +144,23 @@
 			wait(ctx, 100*time.Millisecond)
 			continue
 		}
-		recs, stamps := map[ids.Job]*Record{}, map[ids.Job]ids.Stamp{}
+		recs, waits, stamps := map[ids.Job]*Record{}, map[ids.Job]*Record{}, map[ids.Job]ids.Stamp{}
 		for _, e := range jobs {
-			rec, err := Decode(e.Value)
+			into, decode := recs, Decode
+			if _, waiting := keyed(e.Key); waiting {
+				into, decode = waits, DecodeWaiting
+			}
+			rec, err := decode(e.Value)
 			if err != nil {
 				slog.Error("unreadable record", "key", e.Key, "err", err)
 				continue
 			}
-			recs[rec.Spec.ID], stamps[rec.Spec.ID] = rec, e.Stamp
+			into[rec.Spec.ID], stamps[rec.Spec.ID] = rec, e.Stamp
 		}
 		t.Book.Load(recs, stamps, ids.Stamp(epoch), time.Now())
+		t.Book.LoadWaiting(waits, stamps, time.Now())
 		close(t.loaded)
-		slog.Info("records loaded", "jobs", len(recs), "hires", len(t.Intents))
+		slog.Info("records loaded", "jobs", len(recs), "waiting", len(waits), "hires", len(t.Intents))
 		return true
 	}
 	return false
--- /dev/null
+++ b/internal/claim/urgency_test.go
@@ -0,0 +1,169 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/fake"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/state"
+)
+
+func waits(id ids.Job, p Priority, due ids.Seconds, on ...ids.Job) *Record {
+	r := rec(id, "red", p, 1, 1)
+	r.Spec.Awaits, r.Spec.Due = on, due
+	return r
+}
+
+func TestUrgencyFlowsUpAPipelineAndBack(t *testing.T) {
+	// Guards against a pipeline whose users care about its last job while its first
+	// ones wait behind everybody else's; and against keeping that when it is over.
+	synctest.Test(t, func(t *testing.T) {
+		b := testBook()
+		now := time.Now()
+		b.Learn("job-1", 1, rec("job-1", "red", Low, 1, 1), now)
+		b.Learn("job-2", 2, rec("job-2", "red", Normal, 1, 1), now)
+		b.LearnWaiting("job-3", 3, waits("job-3", Low, 0, "job-1"), now)
+		// The last is learned of before one in the middle.
+		b.LearnWaiting("job-5", 5, waits("job-5", High, 100, "job-4"), now)
+		b.LearnWaiting("job-4", 4, waits("job-4", Low, 0, "job-3"), now)
+		first := b.jobs["job-1"]
+		if first.priority() != High {
+			t.Errorf("the first has priority %s", first.priority())
+		}
+		// 100 s less three estimates of 10 s and fetches of 1 s.
+		if left := first.urged.by.Sub(now); left < 66*time.Second || left > 68*time.Second {
+			t.Errorf("the first has %v", left)
+		}
+		if ranked := b.ranked(now); len(ranked) != 2 || ranked[0] != first {
+			t.Errorf("%d are ranked, or the first does not lead", len(ranked))
+		}
+		b.LearnWaiting("job-5", 9, nil, now)
+		if first.priority() != Low || !first.urged.by.IsZero() {
+			t.Errorf("with the last gone the first still has priority %s and %v", first.priority(), first.urged.by)
+		}
+	})
+}
+
+func TestThousandsThatWaitCostWhatChanges(t *testing.T) {
+	// Guards against passes over all that wait, and after a takeover against a call for
+	// each of thousands of ends.
+	synctest.Test(t, func(t *testing.T) {
+		n, s := fake.NewNet(), fake.NewStore()
+		n.Listen("state:1", s)
+		calls := 0
+		n.SetRule(func(string, string, *http.Request, []byte) fake.Fate { calls++; return fake.Deliver })
+		st := state.NewClient("state:1", n.Client("a"), state.NewBudget(1000, 1000, 1, 0.6))
+		ctx := context.Background()
+		b := testBook()
+		c := NewCommitter(b, st, "a", 0)
+		recs, stamps := map[ids.Job]*Record{}, map[ids.Job]ids.Stamp{}
+		for i := range 3000 {
+			live, over := ids.Job(fmt.Sprintf("job-%d", 10000+i/10)), ids.Job(fmt.Sprintf("job-%d", 20000+i/10))
+			id := ids.Job(fmt.Sprintf("job-%d", 30000+i))
+			if i%10 == 0 {
+				b.Learn(live, 1, rec(live, "red", Low, 1, 1), time.Now())
+				end := rec(over, "red", Low, 1, 1)
+				end.Status = Done
+				raw, _ := end.Encode(8192)
+				if _, err := st.Commit(ctx, state.Txn{Then: []state.Op{{Put: EndKey(over), Value: raw}}}, state.Urgent); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+			recs[id], stamps[id] = waits(id, High, 100, live, over), 1
+		}
+		b.LoadWaiting(recs, stamps, time.Now())
+		calls = 0
+		c.lookUpOnce(ctx)
+		if calls > 5 || len(b.pipes.lookUp) != 0 {
+			t.Errorf("%d calls for 300 ends, %d still not known", calls, len(b.pipes.lookUp))
+		}
+		if got := len(b.ranked(time.Now())); got != 300 {
+			t.Errorf("%d jobs stand in line", got)
+		}
+		b.finally("job-10000", Done)
+		if len(b.pipes.ready) != 10 {
+			t.Errorf("an end made %d ready, not 10", len(b.pipes.ready))
+		}
+		b.cancel(b.jobs["job-10001"])
+		if len(b.pipes.doomed) != 10 {
+			t.Errorf("a cancellation ended %d, not 10", len(b.pipes.doomed))
+		}
+	})
+}
+
+func TestRecordsFromBeforeTheLimitsFellAreRewrittenSmaller(t *testing.T) {
+	// Guards against a value that no longer fits being sent again and again, and
+	// against taking tasks off a record that may be on machines.
+	synctest.Test(t, func(t *testing.T) {
+		n, s := fake.NewNet(), fake.NewStore()
+		n.Listen("state:1", s)
+		st := state.NewClient("state:1", n.Client("a"), state.NewBudget(1000, 1000, 1, 0.6))
+		ctx := context.Background()
+		old := fleet(t, 60)
+		r := rec("job-1", "blue", Normal, 300, 0.5)
+		old.Learn("job-1", 1, r, time.Now())
+		old.Plan(time.Now())
+		full := old.jobs["job-1"].Rec
+		full.Status, full.Places, full.Writer = Claimed, packPlaces(old.jobs["job-1"].places), "old"
+		for k := range 12 {
+			full.Trail = append(full.Trail, Event{What: fmt.Sprintf("event %d %s", k, strings.Repeat("x", 60))})
+		}
+		raw, ok := full.Encode(8192)
+		const lower = 520
+		if _, fits := full.Encode(lower); !ok || fits || len(old.jobs["job-1"].places) < 100 {
+			t.Fatalf("a record of %d bytes with %d places shows nothing", len(raw), len(old.jobs["job-1"].places))
+		}
+		epoch, err := st.Commit(ctx, state.Txn{Then: []state.Op{{Put: JobKey("job-1"), Value: raw}}}, state.Urgent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b := fleet(t, 60)
+		b.set.Params.State.ValueKB, b.set.Params.State.TxnOps = lower/1024.0, 4
+		s.SetLimits(lower, 4)
+		stored, err := Decode(raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Load(map[ids.Job]*Record{"job-1": stored}, map[ids.Job]ids.Stamp{"job-1": ids.Stamp(epoch)}, ids.Stamp(epoch), time.Now())
+		c := NewCommitter(b, st, "a", 0)
+		j := b.jobs["job-1"]
+		open := len(j.places)
+		b.touch(j)
+		b.hurry(j)
+		for range 5 {
+			c.Step(ctx)
+			time.Sleep(time.Second)
+		}
+		if s.TooLarge > 0 || len(j.places) != open {
+			t.Fatalf("%d writes were too large, %d of %d places are left", s.TooLarge, len(j.places), open)
+		}
+		seconds := 0
+		for tick := ids.Tick(2); j.left() > 0 && seconds < 300; tick++ {
+			b.Plan(time.Now())
+			c.Step(ctx)
+			b.batches(1000)
+			b.play(tick, func(p *Place) string {
+				if (p.Index*7+int(tick))%3 == 0 {
+					return "done"
+				}
+				return ""
+			})
+			time.Sleep(time.Second)
+			seconds++
+		}
+		for range 5 {
+			c.Step(ctx)
+			time.Sleep(time.Second)
+		}
+		if s.TooLarge > 0 || s.Value(EndKey("job-1")) == nil {
+			t.Errorf("%d writes were too large; after %d s the end is stored: %v", s.TooLarge, seconds, s.Value(EndKey("job-1")) != nil)
+		}
+	})
+}
--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -85,7 +85,26 @@
 	if err := d.Jobs.Sync(ctx); err != nil {
 		return nil, state.Entry{}, fmt.Errorf("%w: %v", errNotNow, err)
 	}
-	e, found, ready := d.Jobs.Get(claim.JobKey(id))
+	r, e, err := d.lookIn(ctx, id, u)
+	if r != nil && e.Key == claim.WaitKey(id) {
+		by, err := d.cancelledBy(ctx, r, u)
+		if err != nil {
+			return nil, e, err
+		}
+		if by != "" {
+			r.EndedBy(by)
+		}
+	}
+	if r != nil && r.Status.Over() {
+		d.remember(r)
+	}
+	return r, e, err
+}
+
+// lookIn reads a record from the copy, which is as new as the caller needs it, or
+// the final one from the store; nil when there is none.
+func (d *Desk) lookIn(ctx context.Context, id ids.Job, u state.Urgency) (*claim.Record, state.Entry, error) {
+	e, found, ready := d.Jobs.First(claim.JobKey(id), claim.WaitKey(id))
 	if !ready {
 		return nil, e, errNotNow
 	}
@@ -98,17 +117,22 @@
 			return nil, e, nil
 		}
 	}
-	r, err := claim.Decode(e.Value)
+	decode := claim.Decode
+	if e.Key == claim.WaitKey(id) {
+		decode = claim.DecodeWaiting
+	}
+	r, err := decode(e.Value)
 	if err != nil {
 		slog.Error("unreadable record", "key", e.Key, "err", err)
 		return nil, e, errNotNow
 	}
-	if r.Status.Over() {
-		d.remember(r)
-	}
 	return r, e, nil
 }
 
+// describedShare is how much of a value a job's description may take: the rest is for
+// what becomes of it.
+const describedShare = 0.6
+
 // keepAnswers is how many final answers a node remembers: users ask on for a
 // while after a job's end.
 const keepAnswers = 20000
@@ -118,7 +142,14 @@
 	if a, ok := d.remembered(spec.ID); ok {
 		return a, true, nil
 	}
-	if why := d.never(&spec); why != nil {
+	why := d.never(&spec)
+	rec := claim.NewRecord(spec, ids.WallOf(time.Now()), d.Writer)
+	limit := int(d.Set.Params.State.ValueKB * 1024 * describedShare)
+	raw, ok := rec.Encode(limit)
+	if why == nil && !ok {
+		why = errNever{"its description is too large to store"}
+	}
+	if why != nil || len(spec.Awaits) > 0 {
 		// What was once accepted is never refused, so look first.
 		r, _, rerr := d.read(ctx, spec.ID, state.Spare)
 		switch {
@@ -126,25 +157,33 @@
 			return a, false, rerr
 		case r != nil:
 			return tell(r), true, nil
+		case why != nil:
+			return a, false, why
 		}
-		return a, false, why
 	}
-	rec := claim.NewRecord(spec, ids.WallOf(time.Now()), d.Writer)
-	raw, ok := rec.Encode(int(d.Set.Params.State.ValueKB * 1024 / 2))
-	if !ok {
-		return a, false, errNever{"its description is too large to store"}
+	key := claim.JobKey(spec.ID)
+	if len(spec.Awaits) > 0 {
+		var err error
+		if key, raw, err = d.await(ctx, rec, limit); err != nil {
+			return a, false, err
+		}
 	}
 	if d.State.Away() {
 		return a, false, fmt.Errorf("%w: the state service does not answer", errNotNow)
 	}
 	epoch, err := d.State.Commit(ctx, state.Txn{
-		When: []state.Cond{{Key: claim.JobKey(spec.ID)}, {Key: claim.EndKey(spec.ID)}},
-		Then: []state.Op{{Put: claim.JobKey(spec.ID), Value: raw}},
+		When: []state.Cond{{Key: claim.JobKey(spec.ID)}, {Key: claim.WaitKey(spec.ID)}, {Key: claim.EndKey(spec.ID)}},
+		Then: []state.Op{{Put: key, Value: raw}},
 	}, state.Spare)
 	var conflict *state.Conflict
 	switch {
 	case err == nil:
-		d.Teller.Tell(spec.ID, ids.Stamp(epoch), rec, raw)
+		if key == claim.JobKey(spec.ID) {
+			d.Teller.Tell(spec.ID, ids.Stamp(epoch), rec, raw)
+		}
+		if rec.Status.Over() {
+			d.remember(rec)
+		}
 		return tell(rec), false, nil
 	case errors.As(err, &conflict):
 	case errors.Is(err, state.ErrUnknown):
@@ -232,27 +271,42 @@
 		now := ids.WallOf(time.Now())
 		r.Writer, r.Seq = d.Writer, r.Seq+1
 		r.Trail = append(r.Trail, claim.Event{At: now, What: "cancelled by its user"})
-		txn := state.Txn{When: []state.Cond{{Key: claim.JobKey(id), Stamp: e.Stamp}}}
+		txn := state.Txn{When: []state.Cond{{Key: e.Key, Stamp: e.Stamp}}}
 		limit := int(d.Set.Params.State.ValueKB * 1024)
 		queued := len(r.Places) == 0
 		if queued {
 			r.Status = claim.Cancelled
-			raw, _ := r.Encode(limit)
+			raw, ok := r.Encode(limit)
+			if !ok {
+				return answer{}, false, errNotNow
+			}
 			txn.When = append(txn.When, state.Cond{Key: claim.EndKey(id)})
-			txn.Then = []state.Op{{Remove: claim.JobKey(id)}, {Put: claim.EndKey(id), Value: raw}}
+			txn.Then = []state.Op{{Remove: e.Key}, {Put: claim.EndKey(id), Value: raw}}
 		} else {
 			r.Status = claim.Cancelling
-			raw, _ := r.Encode(limit)
+			raw, ok := r.Encode(limit)
+			if !ok {
+				// It was written when values might be larger, and the owner has not
+				// been able to write it smaller yet. As long as they may be, this
+				// fits; else the store says so, and the owner comes to it when some
+				// of its tasks have ended.
+				if raw, ok = r.Encode(int(d.Set.Params.State.NowKB * 1024)); !ok {
+					return answer{}, false, errNotNow
+				}
+			}
 			txn.Then = []state.Op{{Put: claim.JobKey(id), Value: raw}}
 		}
 		epoch, err := d.State.Commit(ctx, txn, state.Spare)
 		var conflict *state.Conflict
 		switch {
 		case err == nil:
-			if queued {
+			switch {
+			case e.Key == claim.WaitKey(id):
+				d.remember(r) // the owner follows the records
+			case queued:
 				d.remember(r)
 				d.Teller.Tell(id, ids.Stamp(epoch), nil, nil)
-			} else {
+			default:
 				// It may be about to start some of the tasks.
 				told := d.Teller.Tell(id, ids.Stamp(epoch), r, txn.Then[0].Value)
 				select {
@@ -279,11 +333,15 @@
 // lastKnown is a live job's record in this node's copy, however old; nil if there
 // is none.
 func (d *Desk) lastKnown(id ids.Job) *claim.Record {
-	e, found, _ := d.Jobs.Get(claim.JobKey(id))
+	e, found, _ := d.Jobs.First(claim.JobKey(id), claim.WaitKey(id))
 	if !found {
 		return nil
 	}
-	r, err := claim.Decode(e.Value)
+	decode := claim.Decode
+	if e.Key == claim.WaitKey(id) {
+		decode = claim.DecodeWaiting
+	}
+	r, err := decode(e.Value)
 	if err != nil {
 		return nil
 	}
--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -175,10 +175,19 @@
 		}
 		x := Explanation{UID: id, Status: tell(r).Status, Trail: r.Trail}
 		if !r.Status.Over() {
+			lines, err := s.Desk.chain(ctx, r)
+			if err != nil {
+				x.Note = err.Error()
+			}
+			if s.Desk.waits(id) {
+				x.Now = lines
+				return x, true, nil
+			}
 			x.Now, x.Owner, err = s.Live(ctx, id)
 			if err != nil {
 				x.Note = err.Error()
 			}
+			x.Now = append(x.Now, lines...)
 		}
 		return x, true, nil
 	})
--- a/internal/intake/messages.go
+++ b/internal/intake/messages.go
@@ -39,6 +39,7 @@
 	BookmarkS    *float64  `json:"bookmarkS"`
 	StashS       *float64  `json:"stashS"`
 	DueS         *float64  `json:"dueS"`
+	Awaits       *[]string `json:"awaits"`
 }
 
 // answer is what users are told of a job.
@@ -140,6 +141,19 @@
 	if s.DueS != nil {
 		spec.Due = ids.Seconds(*s.DueS)
 	}
+	if s.Awaits != nil {
+		seen := map[ids.Job]bool{} // to name one twice asks for nothing more
+		for _, name := range *s.Awaits {
+			need, err := ids.ParseJob(name)
+			if err != nil {
+				return none, fmt.Errorf("awaits: %w", err)
+			}
+			if !seen[need] {
+				seen[need] = true
+				spec.Awaits = append(spec.Awaits, need)
+			}
+		}
+	}
 	return spec, nil
 }
 
--- a/internal/state/mirror.go
+++ b/internal/state/mirror.go
@@ -160,6 +160,19 @@
 	return e, found, m.ready
 }
 
+// First reads the first of several keys that there is, all at one moment: a key may
+// move from one to another in between.
+func (m *Mirror) First(keys ...string) (e Entry, found, ready bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, k := range keys {
+		if e, found = m.entries[k]; found {
+			break
+		}
+	}
+	return e, found, m.ready
+}
+
 // Run keeps the copy until the context ends.
 func (m *Mirror) Run(ctx context.Context) {
 	m.mu.Lock()
