--- a/internal/claim/meetings_test.go
+++ b/internal/claim/meetings_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -32,12 +31,9 @@
 		g.trouble(nil)
 		w.start("a")
 		w.start("b")
-		// The users stop before the nodes do, so that no call is left under way.
-		users, stop := context.WithCancel(w.ctx)
-		defer func() { stop(); time.Sleep(6 * time.Second) }()
 		for _, node := range []string{"a", "b"} {
 			go func() {
-				for users.Err() == nil {
+				for w.ctx.Err() == nil {
 					g.poll(node)
 					g.rest(500 * time.Millisecond)
 				}
@@ -296,7 +292,7 @@
 	// Guards against giving away the room of cancelled jobs before their tasks are
 	// gone: the team is at its limit, machines hang or can't be asked, and the
 	// leader changes before or after the cancellations.
-	for _, how := range []string{"refused", "swallowed", "held", "deaf", "mute"} {
+	for _, how := range []string{"refused", "swallowed", "held", "deaf", "mute", "hung"} {
 		for _, after := range []bool{false, true} {
 			t.Run(fmt.Sprint(how, after), func(t *testing.T) {
 				t.Parallel()
@@ -316,6 +312,11 @@
 					g.order("b", sized("job-5", "array", 6, 2))
 					g.pass(4 * time.Second)
 					g.apart(how, cut...)
+					if how == "hung" {
+						for _, name := range cut {
+							g.worn(name).SetHung(true)
+						}
+					}
 					g.pass(500 * time.Millisecond)
 					first := g.lead()
 					change := func() {
@@ -332,7 +333,16 @@
 					if after {
 						change()
 					}
-					g.pass(45 * time.Second)
+					if how == "hung" { // some go on within their leases, some beyond
+						g.pass(12 * time.Second)
+						g.worn(cut[0]).SetHung(false)
+						g.pass(33 * time.Second)
+						for _, name := range cut {
+							g.worn(name).SetHung(false)
+						}
+					} else {
+						g.pass(45 * time.Second)
+					}
 					g.mended()
 					g.pass(3 * time.Second)
 					if len(g.on("job-2/0")) != 1 {
@@ -771,3 +781,104 @@
 		}
 	}
 }
+
+func TestJobsAreCancelledWhileTheStoreIsSlowAndThenRefuses(t *testing.T) {
+	// Guards against cancels that win at one node and are unknown at another, or come
+	// too late, while every answer of the state service takes long; then it refuses the
+	// leader alone, and soon everybody for longer than cancel_s.
+	for _, slow := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond} {
+		for _, refuses := range []bool{false, true} {
+			t.Run(fmt.Sprint(slow, refuses), func(t *testing.T) {
+				t.Parallel()
+				meeting(t, func(t *testing.T, g *meet) {
+					g.worker("m1", "north")
+					g.worker("m2", "south")
+					time.Sleep(10 * time.Second)
+					for i := range 4 {
+						g.order(nodes[i%2], spec(fmt.Sprintf("job-%d", i+1), []string{"standing", "array"}[i/2], 2))
+					}
+					g.until(6*time.Second, "they run", func() bool { return g.everywhere("job-1", 2) && g.everywhere("job-4", 2) })
+					g.store.SetSlow(slow)
+					g.pass(3 * time.Second)
+					g.finish("job-4/0")
+					g.callOff("a", "job-1")
+					if refuses {
+						first := g.lead()
+						g.store.Refuse(first.name, true)
+						g.callOff(map[string]string{"a": "b", "b": "a"}[first.name], "job-2")
+						g.pass(time.Second)
+						g.store.SetDown(true)
+						g.pass(50 * time.Second)
+						g.store.SetDown(false)
+						g.store.Refuse(first.name, false)
+						g.pass(5 * time.Second)
+					} else {
+						g.callOff("b", "job-2")
+					}
+					g.callOff("b", "job-3")
+					g.pass(20 * time.Second)
+					g.store.SetSlow(0)
+					g.pass(25 * time.Second)
+					g.toTheEnd("job-4")
+				})
+			})
+		}
+	}
+}
+
+func TestJobsAreCancelledAsTheirLeaderGivesWay(t *testing.T) {
+	// Guards against cancelled tasks that stay or begin since the one leader does not
+	// learn of the cancel and the next one not yet of the tasks: the leader is cut from
+	// the state service and the other controller, and workers and users still reach it,
+	// or its process ends; jobs are cancelled through the other, at once and later on.
+	for _, how := range []string{"cut off", "ends", "ends and returns"} {
+		for _, after := range []time.Duration{0, 800 * time.Millisecond, 3 * time.Second} {
+			t.Run(fmt.Sprint(how, after), func(t *testing.T) {
+				t.Parallel()
+				meeting(t, func(t *testing.T, g *meet) {
+					g.worker("m1", "north")
+					g.worker("m2", "south")
+					time.Sleep(10 * time.Second)
+					for i := range 4 {
+						g.order(nodes[i%2], spec(fmt.Sprintf("job-%d", i+1), []string{"standing", "array"}[i%2], 2))
+					}
+					g.until(6*time.Second, "they run", func() bool { return g.everywhere("job-1", 2) && g.everywhere("job-4", 2) })
+					g.pass(3 * time.Second)
+					first := g.lead()
+					other := map[string]string{"a": "b", "b": "a"}[first.name]
+					g.order(other, spec("job-5", "array", 2)) // waits for room, or its starts are on their way
+					if how == "cut off" {
+						g.trouble(func(from, to string, _ *http.Request, _ []byte) fake.Fate {
+							if touches(from, to, first.name, "state") || touches(from, to, first.name, other) {
+								return fake.Swallow
+							}
+							return fake.Deliver
+						})
+					} else {
+						first.kill()
+					}
+					g.pass(after)
+					g.callOff(other, "job-1")
+					if how == "ends and returns" {
+						g.start(first.name)
+					}
+					g.callOff(other, "job-2")
+					g.pass(time.Second)
+					g.callOff(other, "job-5")
+					g.pass(45 * time.Second)
+					if n := g.nodes[other]; n.pool.Book() == nil && how != "ends and returns" {
+						t.Error("the other does not lead")
+					}
+					g.mended()
+					if how == "ends" {
+						g.start(first.name)
+					}
+					g.pass(5 * time.Second)
+					g.callOff(first.name, "job-3")
+					g.pass(5 * time.Second)
+					g.toTheEnd("job-4")
+				})
+			})
+		}
+	}
+}
--- a/internal/claim/mixed_test.go
+++ b/internal/claim/mixed_test.go
@@ -17,7 +17,7 @@
 	// and the owner ends, two of these at a time, for up to beyond a lease. Once all is
 	// over, every job comes to its end.
 	for seed := range uint64(4) {
-		story(t, func(t *testing.T, w *world) {
+		variant(t, fmt.Sprint(seed), func(t *testing.T, w *world) {
 			d := newDice(seed)
 			w.listed = true
 			w.start("a")
--- a/internal/claim/users_test.go
+++ b/internal/claim/users_test.go
@@ -98,7 +98,7 @@
 	// Guards against a node that answers something older, or with 404, than another
 	// one told just before: after an acceptance, an end and a confirmed cancel.
 	for seed := range uint64(4) {
-		story(t, func(t *testing.T, w *world) {
+		variant(t, fmt.Sprint(seed), func(t *testing.T, w *world) {
 			d := newDice(seed)
 			w.start("a")
 			w.start("b")
@@ -150,7 +150,7 @@
 	t.Parallel()
 	// Guards against two winners: whatever is told first, every node tells from then on.
 	for seed := range uint64(4) {
-		story(t, func(t *testing.T, w *world) {
+		variant(t, fmt.Sprint(seed), func(t *testing.T, w *world) {
 			d := newDice(seed)
 			w.start("a")
 			w.start("b")
@@ -434,7 +434,7 @@
 	// Guards against jobs that starve or stay without an answer under a steady rate of
 	// small ones, a quarter of them cancelled, with a change of leader in the middle.
 	for seed := range uint64(2) {
-		story(t, func(t *testing.T, w *world) {
+		variant(t, fmt.Sprint(seed), func(t *testing.T, w *world) {
 			d := newDice(seed)
 			w.start("a")
 			w.start("b")
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -103,6 +103,14 @@
 	})
 }
 
+// variant is one of several stories of a test, which go on beside one another.
+func variant(t *testing.T, name string, f func(t *testing.T, w *world)) {
+	t.Run(name, func(t *testing.T) {
+		t.Parallel()
+		story(t, f)
+	})
+}
+
 func (w *world) settings(name string) *config.Settings {
 	other := map[string]string{"a": "b", "b": "a"}[name]
 	set, err := config.Parse([]byte(strings.NewReplacer("NODE", name, "OTHER", other).Replace(settings)))
