--- a/internal/claim/meetings_test.go
+++ b/internal/claim/meetings_test.go
@@ -804,6 +804,12 @@
 					g.callOff("a", "job-1")
 					if refuses {
 						first := g.lead()
+						g.trouble(func(from, to string, _ *http.Request, _ []byte) fake.Fate {
+							if touches(from, to, "a", "b") {
+								return fake.Refuse // so that it isn't told either
+							}
+							return fake.Deliver
+						})
 						g.store.Refuse(first.name, true)
 						g.callOff(map[string]string{"a": "b", "b": "a"}[first.name], "job-2")
 						g.pass(time.Second)
@@ -811,6 +817,7 @@
 						g.pass(50 * time.Second)
 						g.store.SetDown(false)
 						g.store.Refuse(first.name, false)
+						g.mended()
 						g.pass(5 * time.Second)
 					} else {
 						g.callOff("b", "job-2")
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -153,6 +153,8 @@
 
 // list is the cloud's, in stories that have one.
 func (w *world) list() (ls []claim.Listed) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.listed {
 		for _, k := range w.workers {
 			ls = append(ls, claim.Listed{Name: ids.Machine(k.Name), Addr: k.Addr, Type: k.Type, Zone: k.Zone, Status: "running"})
@@ -241,7 +243,9 @@
 	k := &fake.Worker{Name: name, Addr: name + ":9000", Type: "small", Zone: zone, Net: w.net,
 		Nodes: []string{"a:8080", "b:8080"}, Names: []string{"a", "b"}, Report: 2 * time.Second, Lease: 20 * time.Second,
 		Watch: w.rules.Event}
+	w.mu.Lock()
 	w.workers = append(w.workers, k)
+	w.mu.Unlock()
 	go k.Run(w.ctx)
 	return k
 }
