--- a/internal/claim/commit.go
+++ b/internal/claim/commit.go
@@ -216,7 +216,9 @@
 			break
 		}
 	}
-	c.waitingOnes(true, add) // told as cancelled already: these can wait
+	if !c.State.Budget().Tight() {
+		c.waitingOnes(true, add) // told as cancelled already: these can wait
+	}
 	return group
 }
 
