--- a/internal/claim/meetings_test.go
+++ b/internal/claim/meetings_test.go
@@ -365,7 +365,9 @@
 			t.Run(fmt.Sprint(fate, starts), func(t *testing.T) {
 				t.Parallel()
 				meeting(t, func(t *testing.T, g *meet) {
+					g.world.mu.Lock()
 					g.listed = false
+					g.world.mu.Unlock()
 					time.Sleep(10 * time.Second)
 					first := g.lead()
 					other := map[string]string{"a": "b", "b": "a"}[first.name]
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -181,11 +181,12 @@
 }
 
 func (w *world) cutOff(from, to string) bool {
-	if w.net.Rule == nil {
+	rule := w.net.Current()
+	if rule == nil {
 		return false
 	}
 	r, _ := http.NewRequest("POST", "http://"+to+"/peer", nil)
-	return w.net.Rule(from, to, r, nil) != fake.Deliver
+	return rule(from, to, r, nil) != fake.Deliver
 }
 
 // Alone tells that the other node is down or out of reach.
--- a/internal/fake/net.go
+++ b/internal/fake/net.go
@@ -152,6 +152,13 @@
 	n.Rule = f
 }
 
+// Current is the rule now.
+func (n *Net) Current() Rule {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.Rule
+}
+
 // Client is how one host calls the others.
 func (n *Net) Client(from string) *http.Client {
 	return &http.Client{Transport: &wire{n, from}}
