A move whose answer is lost no longer loses the job to its owner

Cause: a job that awaited others was moved to the claimable ones, the answer was lost, and the news of the move came first: the owner took it for the user's cancel, and passed over the new record as its own writing. The job stayed pending until a takeover. The move's next try finds out now, and a look-up that finds no end looks for a live record.

--- a/internal/claim/pipeline.go
+++ b/internal/claim/pipeline.go
@@ -59,10 +59,12 @@
 	w := b.pipes.waits[id]
 	switch {
 	case rec == nil && w != nil && stamp > w.stamp:
-		// Only this owner makes it claimable, and then it is out of here already,
-		// or the answer is on its way: what became of it is looked up.
-		b.unwait(w)
-		b.ask(id, now)
+		// Its user cancelled it, or it is this owner's own move, whose answer is
+		// on its way or lost: then the next try of it finds out.
+		if !b.pipes.ready[w] && !b.pipes.doomed[w] {
+			b.unwait(w)
+			b.ask(id, now)
+		}
 	case rec != nil && w == nil && b.jobs[id] == nil && !b.gone[id]:
 		b.addWaiting(rec, stamp, now)
 	}
@@ -353,6 +355,10 @@
 	}
 	for _, id := range due {
 		e, found, err := c.State.Get(ctx, EndKey(id), state.Normal)
+		if err == nil && !found {
+			// It may be live after all, by a write of this owner's without an answer.
+			c.findLive(ctx, id, now)
+		}
 		if err != nil || !found {
 			continue
 		}
@@ -362,6 +368,25 @@
 	}
 }
 
+// findLive takes in a live record that this owner wrote but does not know of.
+func (c *Committer) findLive(ctx context.Context, id ids.Job, now time.Time) {
+	e, found, err := c.State.Get(ctx, JobKey(id), state.Normal)
+	if err != nil || !found {
+		return
+	}
+	rec, err := Decode(e.Value)
+	if err != nil {
+		return
+	}
+	b := c.Book
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.jobs[id] == nil && !b.gone[id] && !rec.Status.Over() {
+		b.addJob(rec, e.Stamp, now)
+		poke(b.wakePlan)
+	}
+}
+
 func (b *Book) wanted(id ids.Job) bool {
 	_, asked := b.pipes.lookUp[id]
 	return asked
--- a/internal/claim/pipeline_test.go
+++ b/internal/claim/pipeline_test.go
@@ -46,6 +46,16 @@
 				w.start(o.name)
 			}
 		},
+		"a move's answer is lost": func(w *world) {
+			lost := 0
+			w.net.SetRule(func(_, _ string, r *http.Request, body []byte) fake.Fate {
+				if r.URL.Path == "/commit" && strings.Contains(string(body), `"remove":"job/wait/`) && lost < 2 {
+					lost++
+					return fake.LoseAnswer
+				}
+				return fake.Deliver
+			})
+		},
 		"the leader is refused": func(w *world) {
 			if o := w.owner(); o != nil {
 				w.store.Refuse(o.name, true)
