--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -149,6 +149,7 @@
 	reserved     map[ids.Machine]reservation
 	warm         map[string]*warmth
 	lost         bool
+	loaded       bool // all records were read after the takeover
 	sampled      time.Time
 	spent        spent
 	moved        time.Time
--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -718,3 +718,41 @@
 		t.Errorf("%d places after the record did not fit", n)
 	}
 }
+
+func TestNewsOfTheLastOwnersWritesBeforeTheRecordsAreRead(t *testing.T) {
+	// Found by transactions without answers around a takeover, two starts of one task:
+	// the last owner's marker reached the new one as news, before it had read the
+	// records, and was taken for a user's write, which places nothing.
+	t.Parallel()
+	now := time.Now()
+	marked := func(gen ids.Generation) *Record {
+		r := rec("job-1", "red", Normal, 2, 1)
+		r.Status, r.Attempt, r.Gen, r.Writer = Claimed, 1, gen, "a.1/6"
+		r.Places = []placeRec{{Token: gen, Session: 1, Attempt: 1, Prefix: "m1", On: ":0-1"}}
+		return r
+	}
+	for name, listed := range map[string]ids.Stamp{"the list is as new": 26, "the list is older": 25, "not in the list": 0, "newer": 27} {
+		b := testBook()
+		b.Learn("job-1", 25, rec("job-1", "red", Normal, 2, 1), now)
+		b.Learn("job-1", 26, marked(6), now)
+		recs, stamps := map[ids.Job]*Record{}, map[ids.Job]ids.Stamp{}
+		switch listed {
+		case 25:
+			recs["job-1"], stamps["job-1"] = rec("job-1", "red", Normal, 2, 1), 25
+		case 26, 27:
+			recs["job-1"], stamps["job-1"] = marked(6), listed
+		}
+		b.Load(recs, stamps, max(listed, 25), now)
+		if j := b.jobs["job-1"]; j == nil || len(j.places) != 2 || j.stamp != max(26, listed) {
+			t.Errorf("%s: the places are lost: %+v", name, j)
+		}
+	}
+	// What ended before the records were read is not there either.
+	b := testBook()
+	b.Learn("job-1", 26, marked(6), now)
+	b.Learn("job-1", 27, nil, now)
+	b.Load(map[ids.Job]*Record{}, map[ids.Job]ids.Stamp{}, 27, now)
+	if len(b.jobs) != 0 || b.teams["red"].Cores != 0 {
+		t.Errorf("%d jobs, %v cores of an ended job", len(b.jobs), b.teams["red"].Cores)
+	}
+}
--- a/internal/claim/learn.go
+++ b/internal/claim/learn.go
@@ -18,12 +18,10 @@
 	// is newer than the list.
 	for id, j := range b.jobs {
 		if s, listed := stamps[id]; j.stamp <= at && !listed || listed && s > j.stamp {
-			for _, i := range sortedTasks(j.places) {
-				b.dropPlace(j.places[i])
-			}
-			b.unlist(j)
+			b.unlearn(j)
 		}
 	}
+	b.loaded = true
 	for id, r := range recs {
 		if b.jobs[id] == nil {
 			b.addJob(r, stamps[id], now)
@@ -33,6 +31,14 @@
 	poke(b.wakeCommit)
 }
 
+// unlearn takes back what news told of a job before the records were loaded.
+func (b *Book) unlearn(j *Job) {
+	for _, i := range sortedTasks(j.places) {
+		b.dropPlace(j.places[i])
+	}
+	b.unlist(j)
+}
+
 func (b *Book) addJob(r *Record, stamp ids.Stamp, now time.Time) *Job {
 	j := &Job{Rec: *r, stamp: stamp, places: map[int]*Place{}, tries: map[int]*retry{},
 		settled: map[taskAttempt]uint64{}, version: r.Seq, saved: r.Seq, known: now}
@@ -80,6 +86,16 @@
 	if stamp <= j.stamp || rec != nil && rec.Writer == b.writer {
 		return // our own write; its answer or a read after it settles that
 	}
+	if !b.loaded {
+		// Nothing is this owner's yet: it may be the last owner's writing, whose places
+		// count like those in the records. To take it for a user's, who changes only the
+		// status, would lose them.
+		b.unlearn(j)
+		if rec != nil && !rec.Status.Over() {
+			b.addJob(rec, stamp, now)
+		}
+		return
+	}
 	if rec == nil {
 		// Our own ending shows here too, as news that may outrun its answer.
 		// Another's ending is only written while no task is placed, and our
--- a/internal/claim/users_test.go
+++ b/internal/claim/users_test.go
@@ -283,15 +283,20 @@
 		}
 		return fake.Deliver
 	}
+	w.submit("a", spec("job-90", "array", 1)) // a pipeline, on which others hang
+	w.submit("b", awaiting(spec("job-91", "array", 1), "job-90"))
 	w.net.SetRule(hit)
 	over := make(chan struct{})
 	var wg, askers sync.WaitGroup
-	var ids []string
+	ids := []string{"job-90", "job-91"}
 	for i := range 16 {
 		id := fmt.Sprintf("job-%d", i+1)
 		ids = append(ids, id)
 		s := spec(id, "array", 1)
 		cancelled := i%2 == 0
+		if i%4 < 2 {
+			awaiting(s, []string{"job-90", "job-91"}[i%8/4])
+		}
 		wg.Go(func() {
 			time.Sleep(time.Duration(i) * d.ms(500, 2000))
 			code, _ := w.insist(d, "POST", "/v2/runs", s)
@@ -353,6 +358,19 @@
 		}
 	}
 	wg.Wait()
+	// Luck may have spared all of the kind: then more jobs come until one is hit.
+	spared := func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return hits == 0
+	}
+	for i := 0; spared() && i < 60; i++ {
+		id := fmt.Sprintf("job-%d", 200+i)
+		ids = append(ids, id)
+		w.insist(d, "POST", "/v2/runs", spec(id, "array", 1))
+		time.Sleep(d.ms(10, 300))
+		w.insist(d, "POST", "/v2/runs/"+id+"/cancel", nil)
+	}
 	w.net.SetRule(nil)
 	w.net.Release()
 	time.Sleep(13 * time.Second) // the last late one is carried out
