--- a/internal/claim/mixed_test.go
+++ b/internal/claim/mixed_test.go
@@ -13,9 +13,10 @@
 func TestTwoTroublesAtOnceWhileUsersSubmitAskAndCancel(t *testing.T) {
 	t.Parallel()
 	// Guards against rules that hold in each trouble alone: machines hang, are mute or
-	// deaf or have their reports copied, the state service refuses the owner or is slow,
-	// and the owner ends, two of these at a time, for up to beyond a lease. Once all is
-	// over, every job comes to its end.
+	// deaf or have their reports copied, the state service refuses the owner, is slow or
+	// out for all, loses answers or carries transactions out late, the owner ends, or is
+	// cut from the state service and the other controller, two of these at a time, for up to beyond
+	// a lease. Some jobs await others. Once all is over, every job comes to its end.
 	for seed := range uint64(4) {
 		variant(t, fmt.Sprint(seed), func(t *testing.T, w *world) {
 			d := newDice(seed)
@@ -28,6 +29,9 @@
 			}
 			time.Sleep(10 * time.Second)
 			w.lags(d)
+			w.net.Delay = func() time.Duration { return d.ms(2000, 12000) }
+			w.submit("a", spec("job-90", "array", 1))
+			w.submit("b", awaiting(spec("job-91", "array", 1), "job-90"))
 			var mu sync.Mutex
 			rules := map[int]fake.Rule{}
 			w.net.SetRule(func(from, to string, r *http.Request, body []byte) fake.Fate {
@@ -48,7 +52,7 @@
 				rules[i] = r
 			}
 			trouble := func(i int) {
-				m, how, spell := machines[d.n(4)], d.n(7), d.ms(2000, 28000)
+				m, how, spell := machines[d.n(4)], d.n(11), d.ms(2000, 28000)
 				switch how {
 				case 0:
 					w.worn(m).SetHung(true)
@@ -79,6 +83,31 @@
 						time.Sleep(d.ms(100, 8000))
 						w.start(n.name)
 					}
+				case 7:
+					w.store.SetDown(true)
+					time.Sleep(spell)
+					w.store.SetDown(false)
+				case 8, 9:
+					fate := []fake.Fate{fake.LoseAnswer, fake.Late}[how-8]
+					set(i, func(_, _ string, r *http.Request, body []byte) fake.Fate {
+						if r.URL.Path == "/commit" && d.n(4) == 0 {
+							return fate
+						}
+						return fake.Deliver
+					})
+					time.Sleep(spell)
+					set(i, nil)
+				case 10:
+					if o := w.owner(); o != nil {
+						set(i, func(from, to string, _ *http.Request, _ []byte) fake.Fate {
+							if touches(from, to, "a", "b") || touches(from, to, o.name, "state") {
+								return fake.Swallow
+							}
+							return fake.Deliver
+						})
+						time.Sleep(spell)
+						set(i, nil)
+					}
 				}
 			}
 			over := make(chan struct{})
@@ -113,6 +142,7 @@
 				})
 			}
 			var ids []string
+			var specs []map[string]any
 			for i := range 40 {
 				id := fmt.Sprintf("job-%d", i+1)
 				ids = append(ids, id)
@@ -121,6 +151,10 @@
 				if i%5 == 0 {
 					s["yard"] = "north"
 				}
+				if i%7 < 2 {
+					awaiting(s, []string{"job-90", "job-91"}[i%7])
+				}
+				specs = append(specs, s)
 				users.Go(func() {
 					time.Sleep(time.Duration(i) * d.ms(1000, 2500))
 					w.insist(d, "POST", "/v2/runs", s)
@@ -139,7 +173,7 @@
 			for i, id := range ids {
 				if i%3 == 2 {
 					w.insist(d, "POST", "/v2/runs/"+id+"/cancel", nil)
-				} else if code, _ := w.insist(d, "POST", "/v2/runs", spec(id, "array", 1)); code != 200 && code != 201 {
+				} else if code, _ := w.insist(d, "POST", "/v2/runs", specs[i]); code != 200 && code != 201 {
 					t.Errorf("a submission of %s got %d", id, code)
 				}
 			}
@@ -150,6 +184,7 @@
 					w.agreed(90*time.Second, id)
 				}
 			}
+			w.agreed(90*time.Second, "job-90", "job-91")
 			w.hold(45*time.Second, "", func() bool { return true })
 			close(over)
 			ends.Wait()
--- a/internal/state/mirror.go
+++ b/internal/state/mirror.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -26,6 +27,7 @@
 	mu      sync.Mutex
 	entries map[string]Entry
 	epoch   ids.Epoch
+	last    ids.Stamp // of the newest change known
 	ready   bool
 	next    *round // the round that whoever asks now has to wait for
 	turning bool
@@ -105,7 +107,7 @@
 // catchUp reads what changed up to now, or all anew if it must.
 func (m *Mirror) catchUp(ctx context.Context) error {
 	m.mu.Lock()
-	after, ready := m.epoch, m.ready
+	after, last, ready := m.epoch, m.last, m.ready
 	m.mu.Unlock()
 	if !ready {
 		return m.list(ctx)
@@ -116,6 +118,12 @@
 	if err != nil || now <= after {
 		return err
 	}
+	// That there is no news may mean that nobody looked: an outage may have begun
+	// since, or this node be refused. So the newest change known is asked for once
+	// more: an answer that lacks it is blind.
+	if last > 0 {
+		after = min(after, ids.Epoch(last)-1)
+	}
 	epoch, news, err := m.c.Follow(ctx, m.prefix, after, 0)
 	switch {
 	case errors.Is(err, ErrTooOld):
@@ -124,6 +132,8 @@
 		return err
 	case epoch < now:
 		return fmt.Errorf("%w: news only up to %d of %d", ErrRefused, epoch, now)
+	case last > 0 && !slices.ContainsFunc(news, func(n Change) bool { return n.Stamp == last }):
+		return fmt.Errorf("%w: news without what is known already", ErrRefused)
 	}
 	// Its news are of after the plain read, so they reach that far at least; how
 	// far beyond, only they themselves show.
@@ -251,7 +261,10 @@
 			news = append(news, Change{Remove: k, Stamp: ids.Stamp(epoch)})
 		}
 	}
-	m.entries, m.epoch, m.ready = fresh, epoch, true
+	m.entries, m.epoch, m.ready, m.last = fresh, epoch, true, 0
+	for _, e := range fresh {
+		m.last = max(m.last, e.Stamp)
+	}
 	m.mu.Unlock()
 	m.tell(news)
 	return nil
@@ -269,6 +282,7 @@
 			continue
 		}
 		fresh = append(fresh, n)
+		m.last = max(m.last, n.Stamp)
 		if n.Put != "" {
 			m.entries[n.Put] = Entry{Key: n.Put, Value: n.Value, Stamp: n.Stamp}
 		} else {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -285,7 +285,9 @@
 		blind := false
 		n.Listen("state:1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if blind && r.URL.Path == "/follow" {
-				time.Sleep(time.Second)
+				if r.URL.Query().Get("holdMs") != "0" {
+					time.Sleep(time.Second)
+				}
 				fmt.Fprint(w, `{"epoch":1000,"news":[]}`)
 				return
 			}
@@ -300,12 +302,17 @@
 		if !m.AsOf().IsZero() {
 			t.Error("a watch alone makes the copy complete")
 		}
+		// Nor do news asked for at once, should an outage begin in between.
+		put("j/4")
+		if err := m.Sync(ctx); err == nil {
+			t.Error("an answer without what is known already counts as news")
+		}
 		blind = false
 		began := time.Now()
 		if err := m.Sync(ctx); err != nil {
 			t.Fatal(err)
 		}
-		if _, found, _ := m.Get("j/2"); !found {
+		if _, found, _ := m.Get("j/4"); !found {
 			t.Error("a change is lost that a watch without news passed over")
 		}
 		if m.AsOf().Before(began) {
