--- a/internal/claim/mixed_test.go
+++ b/internal/claim/mixed_test.go
@@ -112,27 +112,7 @@
 			}
 			over := make(chan struct{})
 			var users, troubles, ends sync.WaitGroup
-			ends.Go(func() {
-				since := map[string]time.Time{}
-				for {
-					for _, k := range w.workers {
-						for _, task := range k.Live() {
-							if at := since[task]; at.IsZero() {
-								since[task] = time.Now().Add(d.ms(1000, 15000))
-							} else if time.Now().After(at) {
-								k.End(task, "done")
-							}
-						}
-					}
-					select {
-					case <-over:
-						return
-					case <-w.ctx.Done():
-						return
-					case <-time.After(300 * time.Millisecond):
-					}
-				}
-			})
+			ends.Go(func() { w.tasksEnd(over, d, 1000, 15000) })
 			for i := range 2 {
 				troubles.Go(func() {
 					for range 6 {
--- a/internal/claim/users_test.go
+++ b/internal/claim/users_test.go
@@ -259,6 +259,29 @@
 	}
 }
 
+// tasksEnd has every task complete after a while, until over.
+func (w *world) tasksEnd(over <-chan struct{}, d *dice, from, to int) {
+	ends := map[string]time.Time{}
+	for {
+		for _, k := range w.workers {
+			for _, task := range k.Live() {
+				if at := ends[task]; at.IsZero() {
+					ends[task] = time.Now().Add(d.ms(from, to))
+				} else if time.Now().After(at) {
+					k.End(task, "done")
+				}
+			}
+		}
+		select {
+		case <-over:
+			return
+		case <-w.ctx.Done():
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
 func lateWrites(t *testing.T, w *world, d *dice, what string, fate fake.Fate, holdDies bool) {
 	w.start("a")
 	w.start("b")
@@ -328,27 +351,7 @@
 			}
 		})
 	}
-	askers.Go(func() { // tasks end by themselves after a while
-		since := map[string]time.Time{}
-		for {
-			for _, k := range w.workers {
-				for _, task := range k.Live() {
-					if first := since[task]; first.IsZero() {
-						since[task] = time.Now().Add(d.ms(1000, 5000))
-					} else if time.Now().After(first) {
-						k.End(task, "done")
-					}
-				}
-			}
-			select {
-			case <-over:
-				return
-			case <-w.ctx.Done():
-				return
-			case <-time.After(200 * time.Millisecond):
-			}
-		}
-	})
+	askers.Go(func() { w.tasksEnd(over, d, 1000, 5000) })
 	time.Sleep(5 * time.Second)
 	if what == "takeover" || what == "any" {
 		if o := w.owner(); o != nil {
