--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -282,9 +283,9 @@
 			}
 		}
 		put("j/1")
-		blind := false
+		var blind atomic.Bool
 		n.Listen("state:1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if blind && r.URL.Path == "/follow" {
+			if blind.Load() && r.URL.Path == "/follow" {
 				if r.URL.Query().Get("holdMs") != "0" {
 					time.Sleep(time.Second)
 				}
@@ -296,7 +297,7 @@
 		m := NewMirror(c, "j/", 10*time.Millisecond)
 		go m.Run(ctx)
 		time.Sleep(time.Second)
-		blind = true
+		blind.Store(true)
 		put("j/2")
 		time.Sleep(15 * time.Second)
 		if !m.AsOf().IsZero() {
@@ -307,7 +308,7 @@
 		if err := m.Sync(ctx); err == nil {
 			t.Error("an answer without what is known already counts as news")
 		}
-		blind = false
+		blind.Store(false)
 		began := time.Now()
 		if err := m.Sync(ctx); err != nil {
 			t.Fatal(err)
