--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -58,6 +58,8 @@
 		`10.0.0.1:2">10.0.0.1:1"`:                "cluster_listen",
 		`cpus_max = 8.0>cpus_max = "many"`:       "line",
 		`[services]>[[others]]` + "\n[services]": "others[0].host_name",
+		`[params.cloud]>[params.state.next]` + "\nvalue_kb = -2.0\n[params.cloud]": "params.state.next.value_kb",
+		`[params.cloud]>[params.state.next]` + "\ntxn_ops = 3\n[params.cloud]":     "params.state.next.txn_ops",
 	} {
 		from, to, _ := strings.Cut(change, ">")
 		_, err := Parse([]byte(strings.Replace(fine, from, to, 1)))
@@ -67,6 +69,32 @@
 	}
 }
 
+func TestLimitsToComeHoldFromTheStart(t *testing.T) {
+	// Guards against writes that would be refused from the moment, which nobody
+	// announces, at which the state service lowers its limits.
+	with := func(next string) State {
+		s, err := Parse([]byte(strings.Replace(fine, "[params.cloud]", next+"\n[params.cloud]", 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s.Params.State
+	}
+	for _, c := range []struct {
+		next string
+		want State
+	}{
+		{"", State{RPS: 250, WriteRPS: 80, ValueKB: 32, TxnOps: 48, NowKB: 32}},
+		{"[params.state.next]\nwrite_rps = 35.0\nvalue_kb = 2.0\ntxn_ops = 4", State{RPS: 250, WriteRPS: 35, ValueKB: 2, TxnOps: 4, NowKB: 32}},
+		{"[params.state.next]\nrps = 900.0\nvalue_kb = 64.0", State{RPS: 250, WriteRPS: 80, ValueKB: 32, TxnOps: 48, NowKB: 32}}, // never more than now
+	} {
+		got := with(c.next)
+		got.Next = nil
+		if got != c.want {
+			t.Errorf("%q: limits %+v, not %+v", c.next, got, c.want)
+		}
+	}
+}
+
 func TestOperatorsSettingsLieOverDefaults(t *testing.T) {
 	o, err := ParseOwn([]byte("beat_grace_s: 60\nsample_machines: 9 # more\n"))
 	if err != nil || o.BeatGraceS != 60 || o.SampleMachines != 9 || o.PoolHoldMs != Defaults().PoolHoldMs {
