--- a/internal/claim/users_test.go
+++ b/internal/claim/users_test.go
@@ -35,12 +35,13 @@
 
 // lags makes calls take a few milliseconds, and one in twenty a few hundred.
 func (w *world) lags(d *dice) {
-	w.net.Lag = func() time.Duration {
+	lag := func() time.Duration {
 		if d.n(20) == 0 {
 			return d.ms(50, 200)
 		}
 		return d.ms(1, 8)
 	}
+	w.lag.Store(&lag)
 }
 
 // insist asks as users do, now at one node and now at another, until it is decided.
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -70,6 +71,7 @@
 	t       *testing.T
 	ctx     context.Context
 	net     *fake.Net
+	lag     atomic.Pointer[func() time.Duration] // how long the network takes; none is no time
 	store   *fake.Store
 	mu      sync.Mutex
 	nodes   map[string]*node
@@ -95,6 +97,12 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		w := &world{t: t, ctx: ctx, net: fake.NewNet(), store: fake.NewStore(), nodes: map[string]*node{}}
 		w.net.Listen("state:1", w.store)
+		w.net.Lag = func() time.Duration {
+			if f := w.lag.Load(); f != nil {
+				return (*f)()
+			}
+			return 0
+		}
 		w.rules = newRules(w.settings("a"), func(rule, what string) { t.Errorf("rule broken: %s: %s", rule, what) })
 		defer synctest.Wait()
 		defer cancel()
@@ -205,11 +213,11 @@
 // network is.
 func (n *node) Tell(id ids.Job, stamp ids.Stamp, rec *claim.Record, raw json.RawMessage) <-chan struct{} {
 	done := make(chan struct{})
-	if lag := n.w.net.Lag; lag != nil && n.pool.Book() == nil {
+	if lag := n.w.lag.Load(); lag != nil && n.pool.Book() == nil {
 		go func() {
 			defer close(done)
 			select {
-			case <-time.After(lag()):
+			case <-time.After((*lag)()):
 				n.tell(id, stamp, rec)
 			case <-n.w.ctx.Done():
 			}
