The story of a burst gives the last submission of each class its four minutes

Now four minutes from each class's and team's last submission, over 360 s instead of 240: what is submitted late must be served as well.

--- a/internal/claim/fairness_test.go
+++ b/internal/claim/fairness_test.go
@@ -102,6 +102,7 @@
 			b.set.Params.Teams = append(b.set.Params.Teams, config.Team{Name: fmt.Sprint("team-", i), CPUs: 4})
 		}
 		n, begun := 0, map[string]time.Duration{}
+		last := map[string]time.Time{} // when a class or team last submitted
 		jobs := map[ids.Job]string{}
 		add := func(what string, team int, shape Shape, p Priority, tasks int, cores float64) {
 			n++
@@ -112,7 +113,9 @@
 			}
 			b.Learn(r.Spec.ID, ids.Stamp(n), r, time.Now())
 			jobs[r.Spec.ID] = what
-			begun[what], begun[r.Spec.Team] = 0, 0
+			for _, of := range []string{what, r.Spec.Team} {
+				begun[of], last[of] = 0, time.Now()
+			}
 		}
 		ended := map[taskAttempt]bool{}
 		pass := func(second int) {
@@ -131,10 +134,9 @@
 			b.MachineGone(ids.Machine(fmt.Sprintf("host-%06d", i)))
 		}
 		clear(begun)
-		lost := time.Now()
 		add("largest array", 0, Array, Low, 150, 4)
 		add("largest gang", 1, Gang, High, 10, 4)
-		for second := range 240 {
+		for second := range 120 + 240 { // the last of each has its four minutes too
 			if second < 120 {
 				for i := range 10 {
 					add("array", i, Array, Normal, 3, 1)
@@ -149,7 +151,7 @@
 				if j := b.jobs[id]; j != nil && j.Rec.Attempt > 0 && len(j.places) > 0 {
 					for _, of := range []string{what, j.Rec.Spec.Team} {
 						if begun[of] == 0 {
-							begun[of] = time.Since(lost)
+							begun[of] = time.Since(last[of])
 						}
 					}
 				}
