Fixed limits below 6,000 machines removed: sockets, list pages, passes, tasks of a job

- A leader with fewer sockets than machines let workers hold every connection and refused all its users: workers now keep fifteen in sixteen of the lasting places, the others connect for each report.
- The tasks of a job under way are bounded by what its record holds, no longer by 4,000; values above what a transaction carries are not used.
- Machines asked before their reports are overdue are selected instead of sorted; times heard are put in order only when a machine is silent; the list by name is kept.

--- a/internal/claim/gang.go
+++ b/internal/claim/gang.go
@@ -78,6 +78,7 @@
 		}
 	}
 	b.placed(j, n)
+	ps.tasksPlaced += n
 	j.waiting = ""
 	b.release(j)
 }
--- a/internal/claim/hosts.go
+++ b/internal/claim/hosts.go
@@ -228,7 +228,7 @@
 	h, m := b.hosts[name], b.roster.Machines[name]
 	// One never heard, with nothing on it, has no entry here, but is gone as well:
 	// else its deletion is asked for again and again.
-	delete(b.roster.Machines, name)
+	b.roster.Remove(name)
 	if h == nil {
 		return
 	}
--- a/internal/claim/isolation.go
+++ b/internal/claim/isolation.go
@@ -33,5 +33,5 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	si := b.count()
-	return si.storing && si.silent >= 2 && 4*si.silent >= 3*si.all && seenAfter(si.seen, now.Add(-2*time.Second)) == 0
+	return si.storing && si.silent >= 2 && 4*si.silent >= 3*si.all && si.seen.after(now.Add(-2*time.Second)) == 0
 }
--- a/internal/claim/probe.go
+++ b/internal/claim/probe.go
@@ -61,7 +61,8 @@
 	b.early = min(earlyAsks, b.early+earlyAsks*now.Sub(b.probedAt).Seconds())
 	b.probedAt = now
 	report := b.set.Params.Workers.ReportS.Duration()
-	var ask, early []*worker.Machine
+	var ask []*worker.Machine
+	early := longestSilent{limit: int(b.early)}
 	for _, m := range b.roster.Machines {
 		if m.Deleting || m.Probing || m.Addr == "" {
 			continue
@@ -78,17 +79,14 @@
 		}
 		if now.Sub(m.Asked) > again && (m.Heard && (m.Silent(now) > overdue || !m.Unreached.IsZero()) || !m.Heard && !m.Booting) {
 			if m.Heard && m.Probes == 0 && m.Unreached.IsZero() && m.Silent(now) < report*5/4 && !b.stays(m) {
-				early = append(early, m)
+				early.add(m)
 			} else {
 				ask = append(ask, m)
 			}
 		}
 	}
-	// Of those not overdue yet, only the longest silent.
-	slices.SortFunc(early, func(x, y *worker.Machine) int { return x.Seen.Compare(y.Seen) })
-	early = early[:min(len(early), int(b.early))]
-	b.early -= float64(len(early))
-	ask = append(ask, early...)
+	b.early -= float64(len(early.machines))
+	ask = append(ask, early.machines...)
 	// Those with replicas first, then whoever waits longest: hundreds that are
 	// silent take turns.
 	slices.SortFunc(ask, func(x, y *worker.Machine) int {
@@ -121,6 +119,22 @@
 // them costs its leader as much as their reports do.
 const earlyAsks = 30.0
 
+// longestSilent keeps the few machines that have been silent for longest of the many, in a
+// large fleet, whose reports are not overdue yet.
+type longestSilent struct {
+	limit    int
+	machines []*worker.Machine // longest silent first
+}
+
+func (l *longestSilent) add(m *worker.Machine) {
+	at, _ := slices.BinarySearchFunc(l.machines, m, func(x, y *worker.Machine) int { return x.Seen.Compare(y.Seen) })
+	if at >= l.limit {
+		return
+	}
+	l.machines = slices.Insert(l.machines, at, m)
+	l.machines = l.machines[:min(len(l.machines), l.limit)]
+}
+
 // keenProbes is how many questions in a row are asked closely after another.
 const keenProbes = 4
 
--- a/internal/claim/returns.go
+++ b/internal/claim/returns.go
@@ -119,7 +119,7 @@
 	storing     bool
 	zones       map[string]*zoneSilence
 	all, silent int
-	seen        []time.Time    // of those heard, in order
+	seen        heardTimes     // of those heard
 	on          map[string]int // on their way and covering a need, by type
 }
 
@@ -128,7 +128,7 @@
 // in a small zone a second or more goes by between the reports of the others.
 type zoneSilence struct {
 	all    int
-	seen   []time.Time
+	seen   heardTimes
 	doubts int
 	dark   bool
 }
@@ -165,19 +165,15 @@
 		si.all++
 		z.all++
 		if o.Heard && !o.Doubtful() {
-			si.seen = append(si.seen, o.Seen)
-			z.seen = append(z.seen, o.Seen)
+			si.seen.add(o.Seen)
+			z.seen.add(o.Seen)
 		} else {
 			silent = append(silent, o)
 		}
 	}
 	si.silent = len(silent)
-	slices.SortFunc(si.seen, time.Time.Compare)
-	for _, z := range si.zones {
-		slices.SortFunc(z.seen, time.Time.Compare)
-	}
 	for _, o := range silent {
-		if z := si.zones[o.Zone]; o.Probes > 0 && seenAfter(z.seen, o.Doubted) == 0 {
+		if z := si.zones[o.Zone]; o.Probes > 0 && z.seen.after(o.Doubted) == 0 {
 			z.doubts++
 		}
 	}
@@ -187,9 +183,22 @@
 	return si
 }
 
-// seenAfter counts the times after t; they are in order.
-func seenAfter(times []time.Time, t time.Time) int {
-	return len(times) - sort.Search(len(times), func(k int) bool { return times[k].After(t) })
+// heardTimes are when machines were last heard. Most looks at the fleet find no machine
+// silent and never ask, so the times are put in order only for the first question.
+type heardTimes struct {
+	times   []time.Time
+	ordered bool
+}
+
+func (h *heardTimes) add(t time.Time) { h.times, h.ordered = append(h.times, t), false }
+
+// after counts the times after t.
+func (h *heardTimes) after(t time.Time) int {
+	if !h.ordered {
+		slices.SortFunc(h.times, time.Time.Compare)
+		h.ordered = true
+	}
+	return len(h.times) - sort.Search(len(h.times), func(k int) bool { return h.times[k].After(t) })
 }
 
 // relight begins to judge a zone's machines anew: it was dark and somebody
@@ -217,10 +226,10 @@
 	if !si.storing {
 		return false
 	}
-	if z := si.zones[m.Zone]; z != nil && (z.dark || z.all > 3 && seenAfter(z.seen, m.Doubted.Add(probeTimeout)) < max(1, z.all/4)) {
+	if z := si.zones[m.Zone]; z != nil && (z.dark || z.all > 3 && z.seen.after(m.Doubted.Add(probeTimeout)) < max(1, z.all/4)) {
 		return false
 	}
-	since := seenAfter(si.seen, m.Doubted)
+	since := si.seen.after(m.Doubted)
 	return si.silent <= max(1, si.all*2/5) && since >= (si.all-si.silent+1)/2 && since > 0
 }
 
--- a/internal/claim/scale_test.go
+++ b/internal/claim/scale_test.go
@@ -23,6 +23,26 @@
 	return b
 }
 
+// planAll plans until a pass places nothing more, as a leader's passes do one after the
+// other, and returns the most machines that one of them looked at.
+func planAll(b *ClusterState, now time.Time) (most int) {
+	for {
+		before, placed := b.machinesExamined, countPlaces(b)
+		b.Plan(now)
+		most = max(most, b.machinesExamined-before)
+		if countPlaces(b) == placed {
+			return most
+		}
+	}
+}
+
+func countPlaces(b *ClusterState) (n int) {
+	for _, j := range b.jobs {
+		n += len(j.places)
+	}
+	return n
+}
+
 // Counts machines looked at, not time: that a pass costs what changed, and not
 // the fleet times the jobs or tasks, must not be lost unseen.
 func TestPlanningCostsWhatChangedAndNotTheFleet(t *testing.T) {
@@ -33,7 +53,7 @@
 	cost := func(f func()) int {
 		before := b.machinesExamined
 		f()
-		b.Plan(now)
+		planAll(b, now)
 		return b.machinesExamined - before
 	}
 	add := func(id, tasks int, cores float64) {
@@ -47,15 +67,11 @@
 			add(i, 20, 1)
 		}
 	})
-	placed := 0
-	for _, j := range b.jobs {
-		placed += len(j.places)
-	}
-	if placed != machines*4 {
+	if placed := countPlaces(b); placed != machines*4 {
 		t.Fatalf("%d tasks on %d cores", placed, machines*4)
 	}
 	if most := jobs * (machines + 20*5); full > most {
-		t.Errorf("placing %d tasks of %d jobs looked at %d machines, more than %d", placed, jobs, full, most)
+		t.Errorf("placing %d tasks of %d jobs looked at %d machines, more than %d", countPlaces(b), jobs, full, most)
 	}
 	b.store()
 	// Full: hundreds of waiting jobs find that out once, not each anew.
@@ -141,3 +157,123 @@
 	b.Plan(now)
 	check("placed again")
 }
+
+// largestFleet is how many machines the service is to run at: about 4,000, and half as
+// many again on some days.
+const largestFleet = 6000
+
+func TestAPassLeavesTheRestToTheNextInALargeFleet(t *testing.T) {
+	t.Parallel()
+	// Guards against a pass that looks at all machines for each of hundreds of jobs, as
+	// after a total loss, while every heartbeat waits for it.
+	now := time.Now()
+	for _, machines := range []int{400, largestFleet} {
+		b := fleet(t, machines)
+		for i := range 300 {
+			r := rec(ids.Job(fmt.Sprintf("job-%d", i)), "blue", Normal, machines/100, 1)
+			r.Spec.Image = fmt.Sprint("image-", i)
+			b.Learn(r.Spec.ID, ids.Revision(i+1), r, now)
+		}
+		most := planAll(b, now)
+		if limit := maxExamined + 2*machines; most > limit {
+			t.Errorf("%d machines: a pass looked at %d, more than %d", machines, most, limit)
+		}
+		if placed := countPlaces(b); placed != 300*(machines/100) {
+			t.Errorf("%d machines: %d tasks placed", machines, placed)
+		}
+		t.Logf("%d machines: %d looks in all, %d in one pass at most", machines, b.machinesExamined, most)
+	}
+}
+
+func TestOnlyTheRecordBoundsHowManyTasksOfAJobAreUnderWay(t *testing.T) {
+	t.Parallel()
+	// Guards against a fixed bound smaller than a large fleet, although the values of the
+	// state service would hold more.
+	now := time.Now()
+	b := fleet(t, largestFleet)
+	b.set.Params.State.ValueKB = 56 // as much as a transaction carries
+	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 4*largestFleet, 1), now)
+	j := b.jobs["job-1"]
+	for range 20 {
+		planAll(b, now)
+		record := j.Rec
+		record.Places = packPlaces(j.places)
+		raw, fits := record.Encode(int(b.set.Params.State.ValueKB * 1024))
+		if !fits {
+			t.Fatalf("the record of %d places does not fit", len(j.places))
+		}
+		j.measured(record.Places, len(raw))
+		b.store()
+	}
+	if len(j.places) < largestFleet {
+		t.Errorf("%d tasks are under way at a time", len(j.places))
+	}
+}
+
+func TestQuestionsBeforeReportsAreOverdueGoToTheLongestSilent(t *testing.T) {
+	t.Parallel()
+	b := fleet(t, largestFleet)
+	now := time.Now()
+	for name, m := range b.roster.Machines {
+		var i int
+		fmt.Sscanf(string(name), "host-%d", &i)
+		m.Seen = now.Add(-1100*time.Millisecond - time.Duration(i*7919%largestFleet)*time.Microsecond*10)
+	}
+	b.early, b.probedAt = 5, now.Add(-100*time.Millisecond)
+	asked := b.toProbe(now, 1000)
+	if len(asked) != 8 {
+		t.Fatalf("%d machines asked, not the 5 saved up and 3 more", len(asked))
+	}
+	for _, question := range asked {
+		if silent := now.Sub(b.roster.Machines[question.machine].Seen); silent < 1100*time.Millisecond+(largestFleet-9)*10*time.Microsecond {
+			t.Errorf("asked %s, silent for %v only", question.machine, silent)
+		}
+	}
+}
+
+func TestATakeoverAsksEachMachineOfALargeFleetOnce(t *testing.T) {
+	t.Parallel()
+	// Counts what a new leader asks and looks at: both grow with the fleet and no faster,
+	// and no machine is asked twice when it answers.
+	const slots = 240
+	for _, machines := range []int{400, largestFleet} {
+		now := time.Now()
+		last := fleet(t, machines)
+		last.Learn("job-1", 1, rec("job-1", "blue", Normal, machines, 1), now)
+		planAll(last, now)
+		hints, _ := last.Hints(HintMark{})
+		record := last.jobs["job-1"].Rec
+		record.Places = packPlaces(last.jobs["job-1"].places)
+
+		next := testBook()
+		known := map[ids.Machine]Hint{}
+		for _, hint := range hints {
+			known[hint.Name] = hint
+		}
+		next.Seed(known, now)
+		next.Load(map[ids.Job]*Record{"job-1": &record}, map[ids.Job]ids.Revision{"job-1": 1}, 1, now)
+		questions, rounds := 0, 0
+		for ; rounds < 1000; rounds++ {
+			now = now.Add(101 * time.Millisecond)
+			asked := next.toProbe(now, slots)
+			if len(asked) == 0 || questions >= machines {
+				break
+			}
+			for i, question := range asked {
+				questions++
+				next.probed(question.machine, true)
+				next.hear(question.machine, []string{"north", "south"}[i%2], 2)
+				next.roster.Machines[question.machine].Seen = now
+			}
+		}
+		if questions != machines || rounds > machines/slots+1 {
+			t.Errorf("%d machines: %d questions in %d rounds", machines, questions, rounds)
+		}
+		for name, m := range next.roster.Machines {
+			if !m.Heard {
+				t.Fatalf("%d machines: %s was not asked", machines, name)
+			}
+		}
+		t.Logf("%d machines: %d questions in %d rounds", machines, questions, rounds)
+	}
+}
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -21,8 +21,16 @@
 	victims          map[victimKey][]*host
 	spare            map[victimKey][]placement.Room // needs for which stopping others frees nothing
 	machinesExamined int                            // machines looked at, for tests and operators
+	tasksPlaced      int
 }
 
+// maxExamined is after how many looks at machines a pass that has placed something ends,
+// and leaves the rest to the next one. Hundreds of jobs that meet thousands of empty
+// machines would otherwise hold the cluster state, and with it all heartbeats, for longer
+// than a worker waits for its answer. A pass that has placed nothing goes on to the end, so
+// that no job is passed over because of others that find no room.
+const maxExamined = 50000
+
 func newPass(now time.Time) *pass {
 	return &pass{now: now, full: map[fullKey][]placement.Room{}, victims: map[victimKey][]*host{}, spare: map[victimKey][]placement.Room{}}
 }
@@ -59,6 +67,10 @@
 	b.drains(now)
 	ps := newPass(now)
 	for _, j := range b.ranked(now) {
+		if ps.machinesExamined > maxExamined && ps.tasksPlaced > 0 {
+			poke(b.wakePlan)
+			break
+		}
 		b.claim(j, ps)
 		if j.waiting != j.logged {
 			j.logged = j.waiting
@@ -344,6 +356,7 @@
 		placed++
 	}
 	b.placed(j, placed)
+	ps.tasksPlaced += placed
 	j.waiting = why
 	if placed == pending {
 		j.waiting = ""
@@ -396,7 +409,7 @@
 	value := b.set.Params.State.ValueKB * 1024
 	n := int((value*0.92 - min(1500, float64(j.described()))) / 40)
 	if w := j.width; w.places > 0 {
-		n = max(n, min(mostOpen, int((value*0.9-float64(w.rest))/(1.25*max(w.places, brokenUp)+1))))
+		n = max(n, int((value*0.9-float64(w.rest))/(1.25*max(w.places, brokenUp)+1)))
 	}
 	if j.maxClaimed > 0 {
 		n = min(n, j.maxClaimed)
@@ -417,9 +430,6 @@
 // brokenUp is about how many bytes a place takes at the least by then.
 const brokenUp = 5
 
-// mostOpen bounds what one record costs to write, again and again.
-const mostOpen = 4000
-
 // heldFor tells whether what is free on a machine was freed for another job
 // that goes first.
 func (b *ClusterState) heldFor(m *placement.Machine, j *Job, now time.Time) bool {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -83,9 +83,14 @@
 	NowKB float64 `toml:"-"`
 }
 
+// maxValueKB is the largest value that is used, whatever the service takes: a transaction
+// carries 64 KiB in all, conditions and keys included, and a larger value would never be sent.
+const maxValueKB = 56
+
 // settle makes the limits hold now and later: whatever is written fits both before
 // the moment can come. Next's own fields may be missing.
 func (s *State) settle() {
+	s.ValueKB = min(s.ValueKB, maxValueKB)
 	s.NowKB = s.ValueKB
 	n := s.Next
 	if n == nil {
--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -4,10 +4,14 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
 
+// maxPage is the most machines that the cloud lists in one answer.
+const maxPage = 500
+
 // Cloud is a stand-in of the cloud's interface. It rents names only; a test
 // starts the workers that it wants to come up.
 type Cloud struct {
@@ -52,6 +56,26 @@
 	return append([]string(nil), c.Deleted...)
 }
 
+// page lists the machines that follow a name, as many as are asked for.
+func (c *Cloud) page(after, most string) (hosts []map[string]any, more bool) {
+	limit, err := strconv.Atoi(most)
+	if err != nil || limit > maxPage {
+		limit = maxPage
+	}
+	hosts = []map[string]any{}
+	for _, h := range c.hosts {
+		if h["uid"].(string) <= after {
+			continue
+		}
+		if len(hosts) == limit {
+			return hosts, true
+		}
+		h["heldS"] = time.Since(h["since"].(time.Time)).Seconds()
+		hosts = append(hosts, h)
+	}
+	return hosts, false
+}
+
 // ServeHTTP answers like the cloud.
 func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c.mu.Lock()
@@ -64,14 +88,8 @@
 	case r.URL.Path == "/machine_types":
 		reply(w, 200, c.Types)
 	case r.URL.Path == "/hosts" && r.Method == "GET":
-		hs := c.hosts
-		if hs == nil {
-			hs = []map[string]any{}
-		}
-		for _, h := range hs {
-			h["heldS"] = time.Since(h["since"].(time.Time)).Seconds()
-		}
-		reply(w, 200, map[string]any{"hosts": hs, "more": false})
+		hs, more := c.page(r.URL.Query().Get("after"), r.URL.Query().Get("most"))
+		reply(w, 200, map[string]any{"hosts": hs, "more": more})
 	case r.URL.Path == "/hosts":
 		var in struct {
 			Hire, Build, Yard string
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -117,28 +118,27 @@
 	return out.Builds, err
 }
 
-// List reads the whole machine list, page by page.
-func (c *Cloud) List(ctx context.Context) ([]claim.Listed, error) {
-	var all []claim.Listed
-	after := ""
-	for {
-		var out struct {
-			Hosts []claim.Listed `json:"hosts"`
-			More  bool           `json:"more"`
-		}
-		q := url.Values{"most": {"500"}}
-		if after != "" {
-			q.Set("after", after)
-		}
-		if err := c.call(ctx, "GET", "/hosts?"+q.Encode(), nil, &out, nil); err != nil {
-			return nil, err
-		}
-		all = append(all, out.Hosts...)
-		if !out.More || len(out.Hosts) == 0 {
-			return all, nil
-		}
-		after = string(out.Hosts[len(out.Hosts)-1].Name)
+// listPageSize is the most machines that the cloud lists in one answer.
+const listPageSize = 500
+
+// ListPage reads the page of the machine list that follows a machine's name; more tells
+// whether there is another after it.
+func (c *Cloud) ListPage(ctx context.Context, after ids.Machine) (page []claim.Listed, more bool, err error) {
+	var out struct {
+		Hosts []claim.Listed `json:"hosts"`
+		More  bool           `json:"more"`
+	}
+	query := url.Values{"most": {strconv.Itoa(listPageSize)}}
+	if after != "" {
+		query.Set("after", string(after))
 	}
+	err = c.call(ctx, "GET", "/hosts?"+query.Encode(), nil, &out, nil)
+	return out.Hosts, out.More && len(out.Hosts) > 0, err
+}
+
+// HasSpareCalls tells whether a call now would leave half of the tokens for others.
+func (c *Cloud) HasSpareCalls() bool {
+	return c.tokens.Tokens()-1 >= float64(c.tokens.Burst()/2)
 }
 
 // Intent is a hire as it is stored before it is sent.
--- /dev/null
+++ b/internal/fleet/large_fleet_test.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/claim"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/worker"
+)
+
+// largestFleet is how many machines the service is to run at.
+const largestFleet = 6000
+
+// rentAll rents n machines and has their workers report.
+func rentAll(ctx context.Context, t *testing.T, cluster *claim.ClusterState, cloud *Cloud, n int) {
+	t.Helper()
+	for i := range n / 50 {
+		names, err := cloud.Hire(ctx, Intent{Name: ids.Hire(fmt.Sprint("first-", i)), Type: "small", Zone: "north", Count: 50}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, name := range names {
+			cluster.Observe(&worker.Report{Machine: name, Addr: string(name) + ":1", Type: "small", Zone: "north", Session: 1, Tick: 1}, true, true)
+		}
+	}
+}
+
+func TestAHireDoesNotWaitForTheListOfALargeFleet(t *testing.T) {
+	// Guards against reading all pages of the machine list before anything else: at six
+	// thousand machines that took the calls of three seconds, again and again.
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		network, cloud, cluster, _, p := setup(largestFleet + 100)
+		rentAll(ctx, t, cluster, p.Cloud, largestFleet)
+		p.Step(ctx)
+		// The platform's rate is five calls a second, and its list lags by five seconds.
+		p.Cloud, p.ListEvery = NewCloud("cloud:1", network.Client("a"), 5), 2500*time.Millisecond
+		lists, slowest := map[time.Time]bool{}, time.Duration(0)
+		step := func() {
+			p.Step(ctx)
+			time.Sleep(250 * time.Millisecond)
+			if !p.list.reading {
+				lists[p.list.began] = true
+			}
+		}
+		for i := range 20 {
+			spec := claim.Spec{ID: ids.Job(fmt.Sprint("job-", i)), Class: "c", Team: "red", Zone: "south", Shape: claim.Service,
+				Tasks: 1, Need: placement.Room{Cores: 4, RAM: 4}}
+			cluster.Learn(spec.ID, 1, claim.NewRecord(spec, ids.WallOf(time.Now()), "user"), time.Now())
+			began, before := time.Now(), len(cloud.Hires())
+			for len(cloud.Hires()) == before && time.Since(began) < 10*time.Second {
+				step()
+			}
+			slowest = max(slowest, time.Since(began))
+			step()
+			step()
+		}
+		if slowest > time.Second {
+			t.Errorf("a hire waited %v", slowest)
+		}
+		if len(lists) < 2 {
+			t.Errorf("the machine list was read to its end %d times", len(lists))
+		}
+	})
+}
--- a/internal/fleet/provisioner.go
+++ b/internal/fleet/provisioner.go
@@ -44,7 +44,7 @@
 	unsure  []Intent // perhaps stored: not to be sent until they surely are
 	open    []Intent // stored, not answered for sure yet
 	refused map[offer]time.Time
-	listed  time.Time
+	list    listing
 	typed   time.Time
 	seq     int
 	emptied time.Time // when a machine to empty was last looked for
@@ -90,12 +90,7 @@
 			return
 		}
 	}
-	if p.listed.IsZero() || now.Sub(p.listed) > p.ListEvery {
-		if ls, err := p.Cloud.List(ctx); err == nil {
-			p.Cluster.List(ls, time.Now())
-			p.listed = now
-		}
-	}
+	p.readList(ctx, now)
 	unsure := p.unsure
 	p.unsure = nil
 	for _, in := range unsure {
@@ -117,7 +112,7 @@
 		return !dark[zone] && !p.refused[offer{label, zone, spot}].After(now)
 	})
 	p.returns(ctx, needed)
-	if len(p.unsure) > 0 || len(p.open) > 0 || p.listed.IsZero() {
+	if len(p.unsure) > 0 || len(p.open) > 0 || !p.list.complete {
 		return // what they rent is not known yet
 	}
 	if len(hires) > 0 && p.Cluster.Empty("", time.Now()) {
--- a/internal/intake/connection_limiter.go
+++ b/internal/intake/connection_limiter.go
@@ -58,6 +58,11 @@
 	return max(l.longLived()-workers, l.longLived()/16)
 }
 
+// workerQuota is how many connections workers may keep open. A fleet may have more
+// machines than this node has sockets: the workers beyond the quota connect anew for each
+// report, so that users and health checks still find places.
+func (l *ConnectionLimiter) workerQuota() int { return l.longLived() - l.longLived()/16 }
+
 // admit counts a new connection; nil means that the limit is reached.
 func (l *ConnectionLimiter) admit(c net.Conn) *limitedConn {
 	l.mu.Lock()
@@ -104,6 +109,9 @@
 	if as == user && (c.transient || l.users > l.userQuota()) {
 		return false, false
 	}
+	if as == workerHeartbeat && l.workers > l.workerQuota() {
+		return true, false
+	}
 	if c.transient && l.open <= l.longLived() {
 		c.transient = false
 	}
--- a/internal/intake/connection_limiter_test.go
+++ b/internal/intake/connection_limiter_test.go
@@ -120,3 +120,47 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+func TestMoreWorkersThanSocketsLeaveRoomForUsers(t *testing.T) {
+	// Guards against workers that hold every connection of a leader with fewer sockets
+	// than machines: its users were all refused, although its load balancer sent them
+	// there because so few were connected.
+	const workers = 6000
+	limiter := &ConnectionLimiter{MaxConnections: 3000, WorkerCount: func() int { return workers }}
+	var open []*limitedConn
+	for range workers {
+		here, there := net.Pipe()
+		defer there.Close()
+		conn := limiter.admit(here)
+		if conn == nil {
+			t.Fatalf("no place for a worker's report beside %d connections", limiter.open)
+		}
+		serve, keepOpen := conn.admitRequest(workerHeartbeat)
+		if !serve {
+			t.Fatal("a report was refused")
+		}
+		if !keepOpen {
+			conn.Close()
+			continue
+		}
+		open = append(open, conn)
+	}
+	if len(open) < limiter.MaxConnections*9/10 {
+		t.Errorf("only %d workers keep their connection", len(open))
+	}
+	users := 0
+	for range limiter.userQuota() {
+		here, there := net.Pipe()
+		defer there.Close()
+		conn := limiter.admit(here)
+		if conn == nil {
+			t.Fatal("no place for a user")
+		}
+		if serve, _ := conn.admitRequest(user); serve {
+			users++
+		}
+	}
+	if users != limiter.userQuota() {
+		t.Errorf("%d of %d users are served", users, limiter.userQuota())
+	}
+}
--- a/internal/placement/rent.go
+++ b/internal/placement/rent.go
@@ -218,7 +218,7 @@
 
 // sortBy is stable, so that decisions do not hang on chance.
 func sortBy(order []int, key func(int) float64) {
-	keys := make(map[int]float64, len(order))
+	keys := make([]float64, len(order)) // order is a permutation of its indices
 	for _, i := range order {
 		keys[i] = key(i)
 	}
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -1,7 +1,9 @@
 package worker
 
 import (
-	"sort"
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
@@ -64,8 +66,10 @@
 
 // Registry is all machines by name.
 type Registry struct {
+	// Machines is added to by Ensure and taken from by Remove alone.
 	Machines map[ids.Machine]*Machine
 	lease    ids.Seconds
+	sorted   []*Machine // by name; nil when machines have come or gone since
 }
 
 // NewRegistry makes an empty roster for workers with the given lease.
@@ -81,19 +85,24 @@
 	if m == nil {
 		m = &Machine{Name: name, Born: now, IdleSince: now, NeededAt: now, LapseAt: notBefore, HeldSince: now, Seen: now}
 		r.Machines[name] = m
+		r.sorted = nil
 	}
 	return m
 }
 
+// Remove forgets a machine.
+func (r *Registry) Remove(name ids.Machine) {
+	delete(r.Machines, name)
+	r.sorted = nil
+}
+
 // Sorted lists the machines by name, so that decisions do not hang on the order
-// of a map.
+// of a map. Callers must not change the list.
 func (r *Registry) Sorted() []*Machine {
-	out := make([]*Machine, 0, len(r.Machines))
-	for _, m := range r.Machines {
-		out = append(out, m)
+	if r.sorted == nil {
+		r.sorted = slices.SortedFunc(maps.Values(r.Machines), func(x, y *Machine) int { return cmp.Compare(x.Name, y.Name) })
 	}
-	sort.Slice(out, func(x, y int) bool { return out[x].Name < out[y].Name })
-	return out
+	return r.sorted
 }
 
 // Verdict is what a report means beside its list of tasks.
