Team limits across leaders: ledger, allowances and transfers; claim asks quota

Need: several leaders are to grant at the same moment, and a team's limit must hold over all of them at every instant.

internal/quota keeps a ledger of each team's limit, split into allowances of the shards, a leader's book of it, and the exchange that moves allowances by conditional transactions. docs/quota.md weighs the ways. internal/claim takes what a team may still have from it alone; with one shard, as now, nothing is stored and the decisions are those of before.

--- a/internal/claim/cluster_state.go
+++ b/internal/claim/cluster_state.go
@@ -12,6 +12,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/dependency"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/quota"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -146,7 +147,7 @@
 	hintSeq          uint64               // counts what the others should know
 	first            ids.Generation       // the term's first generation
 
-	teams map[string]placement.Room // use per team, everything that may be there
+	quota *quota.Book // what each team uses and may still have
 	types map[string]*placement.Type
 	rng   *rand.Rand
 	// trustSilence is the earliest that an unheard machine's lapse counts: a
@@ -196,7 +197,7 @@
 		leaving:       map[ids.Machine]bool{},
 		due:           map[*host]bool{},
 		dirty:         map[*Job]bool{},
-		teams:         map[string]placement.Room{},
+		quota:         quota.NewBook(0, 1, teamLimits(set), 0),
 		types:         map[string]*placement.Type{},
 		rng:           rand.New(rand.NewPCG(uint64(gen), uint64(len(writer)))),
 		trustSilence:  trustSilence,
@@ -272,8 +273,7 @@
 		p.Job.finishedMayHavePlace = true
 	}
 	b.put(b.hostOf(p.Machine), p)
-	t := p.Job.Rec.Spec.Team
-	b.teams[t] = b.teams[t].Plus(p.Job.Rec.Spec.Need)
+	b.quota.Use(p.Job.Rec.Spec.Team, p.Job.Rec.Spec.Need)
 }
 
 // dropPlace takes a place off the books: its task is proven not to be there.
@@ -289,8 +289,7 @@
 			m.IdleSince = time.Now()
 		}
 	}
-	t := p.Job.Rec.Spec.Team
-	b.teams[t] = b.teams[t].Minus(p.Job.Rec.Spec.Need)
+	b.quota.Free(p.Job.Rec.Spec.Team, p.Job.Rec.Spec.Need)
 	if p.Job.ended && len(p.Job.places) == 0 {
 		b.unlist(p.Job)
 	}
--- a/internal/claim/cluster_state_test.go
+++ b/internal/claim/cluster_state_test.go
@@ -9,6 +9,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/quota"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
@@ -28,6 +29,12 @@
 	return b
 }
 
+// setTeams replaces the teams of the settings.
+func (b *ClusterState) setTeams(teams ...config.Team) {
+	b.set.Params.Teams = teams
+	b.quota = quota.NewBook(0, 1, teamLimits(b.set), 0)
+}
+
 func testTypes() []placement.Type {
 	return []placement.Type{{Label: "small", Cores: 4, RAM: 16, CacheGB: 20, PullGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 30, Zones: []string{"north", "south"}}}
 }
@@ -756,7 +763,7 @@
 	b.Learn("job-1", 26, marked(6), now)
 	b.Learn("job-1", 27, nil, now)
 	b.Load(map[ids.Job]*Record{}, map[ids.Job]ids.Revision{}, 27, now)
-	if len(b.jobs) != 0 || b.teams["red"].Cores != 0 {
-		t.Errorf("%d jobs, %v cores of an ended job", len(b.jobs), b.teams["red"].Cores)
+	if len(b.jobs) != 0 || b.quota.Used("red").Cores != 0 {
+		t.Errorf("%d jobs, %v cores of an ended job", len(b.jobs), b.quota.Used("red").Cores)
 	}
 }
--- a/internal/claim/fairness_test.go
+++ b/internal/claim/fairness_test.go
@@ -90,7 +90,7 @@
 	// the same pass for work within another team's guarantee.
 	synctest.Test(t, func(t *testing.T) {
 		b := fleet(t, 1)
-		b.set.Params.Teams = []config.Team{{Name: "red", CPUs: 4}, {Name: "blue"}}
+		b.setTeams(config.Team{Name: "red", CPUs: 4}, config.Team{Name: "blue"})
 		b.Learn("job-1", 1, rec("job-1", "blue", Low, 1, 4), time.Now())
 		b.jobs["job-1"].aside = time.Now() // machines were looked for to set aside
 		b.Plan(time.Now())
@@ -190,10 +190,11 @@
 	// what is left too, begins within four minutes.
 	synctest.Test(t, func(t *testing.T) {
 		b := fleet(t, 30)
-		b.set.Params.Teams = nil
+		var teams []config.Team
 		for i := range 10 {
-			b.set.Params.Teams = append(b.set.Params.Teams, config.Team{Name: fmt.Sprint("team-", i), CPUs: 4})
+			teams = append(teams, config.Team{Name: fmt.Sprint("team-", i), CPUs: 4})
 		}
+		b.setTeams(teams...)
 		n, begun := 0, map[string]time.Duration{}
 		last := map[string]time.Time{} // when a class or team last submitted
 		jobs := map[ids.Job]string{}
--- a/internal/claim/inheritance_test.go
+++ b/internal/claim/inheritance_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 )
 
@@ -92,7 +93,7 @@
 		for _, needed := range []bool{false, true} {
 			now := time.Now()
 			b := testBook()
-			b.set.Params.Teams[0].CPUs, b.set.Params.Teams[0].CPUsMax = 0, 3
+			b.setTeams(config.Team{Name: "red", CPUsMax: 3}, b.set.Params.Teams[1])
 			b.hear("m1", "north", 1)
 			b.hear("m2", "north", 1)
 			b.Learn("job-1", 1, rec("job-1", "blue", Normal, 8, 1), now)
@@ -116,7 +117,7 @@
 					}
 				}
 				now = now.Add(time.Second)
-				if used := b.teams["red"].Cores; used > 3 {
+				if used := b.quota.Used("red").Cores; used > 3 {
 					t.Fatalf("its team has %v cores, 3 at most", used)
 				}
 			}
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -50,7 +50,7 @@
 		if j.claimable() && !j.failing() {
 			n := j.left()
 			if s.Shape == Array {
-				n = min(n, len(j.places)+b.quota(s, n))
+				n = min(n, len(j.places)+b.quotaFor(s, n))
 			}
 			w.now += n
 		}
@@ -159,7 +159,7 @@
 		return 0, 0
 	}
 	n := j.left() - len(j.places) - j.backingOff(now)
-	n = min(n, b.quota(s, max(n, 0)))
+	n = min(n, b.quotaFor(s, max(n, 0)))
 	if n <= 0 {
 		return 0, 0
 	}
--- a/internal/claim/preempt.go
+++ b/internal/claim/preempt.go
@@ -294,7 +294,7 @@
 		return false
 	}
 	t, _ := b.set.Team(s.Team)
-	over := b.teams[s.Team].Plus(s.Need.Times(float64(n)))
+	over := b.quota.Used(s.Team).Plus(s.Need.Times(float64(n)))
 	over.Cores -= t.CPUsMax
 	over.Accels -= t.GPUsMax
 	if t.CPUsMax == 0 {
@@ -373,7 +373,7 @@
 		return false
 	}
 	t, _ := b.set.Team(v.Rec.Spec.Team)
-	used := b.teams[v.Rec.Spec.Team]
+	used := b.quota.Used(v.Rec.Spec.Team)
 	if v.Rec.Spec.Need.Accels > 0 {
 		return used.Accels > t.GPUs
 	}
--- a/internal/claim/promote_test.go
+++ b/internal/claim/promote_test.go
@@ -164,8 +164,8 @@
 		if looks := b.machinesExamined - before; looks > 20 || len(b.jobs["job-500"].places) != 80 {
 			t.Errorf("%d machines were looked at for one job; %d of its tasks are placed", looks, len(b.jobs["job-500"].places))
 		}
-		if b.teams["red"].Cores != 0 {
-			t.Errorf("those that wait hold %v cores of their team", b.teams["red"].Cores)
+		if b.quota.Used("red").Cores != 0 {
+			t.Errorf("those that wait hold %v cores of their team", b.quota.Used("red").Cores)
 		}
 	})
 }
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -11,6 +11,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/measure"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/quota"
 )
 
 // pass is what one planning pass has found out so far, so that jobs alike do
@@ -214,28 +215,24 @@
 	return demand.Cores <= t.CPUs
 }
 
-// quota is how many more tasks of a job its team's limits allow.
-func (b *ClusterState) quota(s *Spec, want int) int { return b.quotaBeside(s, placement.Room{}, want) }
+// quotaFor is how many more tasks of a job its team's limits allow.
+func (b *ClusterState) quotaFor(s *Spec, want int) int {
+	return b.quota.Left(s.Team).Count(s.Need, want)
+}
 
 // mayHave is the same less what is owed to a job that goes first.
 func (b *ClusterState) mayHave(j *Job, want int, now time.Time) int {
-	return b.quotaBeside(&j.Rec.Spec, b.withheld(j, now), want)
+	s := &j.Rec.Spec
+	return b.quota.Left(s.Team).Minus(b.withheld(j, now)).Count(s.Need, want)
 }
 
-func (b *ClusterState) quotaBeside(s *Spec, other placement.Room, want int) int {
-	t, ok := b.set.Team(s.Team)
-	if !ok {
-		return 0
-	}
-	used := b.teams[s.Team].Plus(other)
-	room := placement.Room{Cores: 1e12, Accels: 1e12, RAM: 1e12}
-	if t.CPUsMax > 0 {
-		room.Cores = t.CPUsMax - used.Cores
-	}
-	if t.GPUsMax > 0 {
-		room.Accels = t.GPUsMax - used.Accels
+// teamLimits are the limits of the settings by team.
+func teamLimits(set *config.Settings) map[string]quota.Limit {
+	limits := map[string]quota.Limit{}
+	for _, team := range set.Params.Teams {
+		limits[team.Name] = quota.LimitOf(team.CPUsMax, team.GPUsMax)
 	}
-	return room.Count(s.Need, want)
+	return limits
 }
 
 // zoning counts a job's tasks by zone, for the rules on where one more may go.
@@ -299,8 +296,8 @@
 		j.waiting = j.whyRests()
 		return
 	}
-	quota, open := b.mayHave(j, pending, now), b.openLimit(j)-len(j.places)
-	may := min(pending, quota, open)
+	allowed, open := b.mayHave(j, pending, now), b.openLimit(j)-len(j.places)
+	may := min(pending, allowed, open)
 	if j.failing() {
 		may = min(may, 1)
 	}
@@ -309,8 +306,8 @@
 	switch {
 	case open <= 0:
 		why = "as many of its tasks are under way as a record of the state service holds"
-	case quota <= 0:
-		why = "team " + s.Team + " is at its limit"
+	case allowed <= 0:
+		why = b.quota.Explain(s.Team)
 		if b.yield(j, pending, now) {
 			why += "; lesser work of its own makes way"
 		}
