Displacing work weighs a few machines a task; passes end after progress; lists cost what they skip

Each urgent task weighed every machine on which something may be stopped, and each task of a job copied the list of all machines. Now the best of 200 candidates from a random place is taken, those that hold an image are listed once a pass, and a look at the list costs what it passes over. A pass that has stopped others for a task counts that as progress and ends after 50,000 looks too.

--- a/internal/claim/gang.go
+++ b/internal/claim/gang.go
@@ -78,7 +78,7 @@
 		}
 	}
 	b.placed(j, n)
-	ps.tasksPlaced += n
+	ps.progress += n
 	j.waiting = ""
 	b.release(j)
 }
--- a/internal/claim/preempt.go
+++ b/internal/claim/preempt.go
@@ -26,6 +26,7 @@
 	priority   Priority
 	guaranteed bool
 	team       string
+	image      string // only machines that hold it; empty: all
 	fullKey
 }
 
@@ -38,12 +39,19 @@
 }
 
 // victimsOf lists the machines on which a job may stop something, or where
-// something is being stopped. Jobs alike share the list within a pass.
-func (b *ClusterState) victimsOf(j *Job, ask *placement.Ask, ps *pass) []*host {
+// something is being stopped; if an image is named, only those that hold it. Jobs alike
+// share the list within a pass.
+func (b *ClusterState) victimsOf(j *Job, ask *placement.Ask, image string, ps *pass) []*host {
 	k := j.victimKey(ask)
+	k.image = image
 	if hs, ok := ps.victims[k]; ok {
 		return hs
 	}
+	if image != "" {
+		hs := slices.DeleteFunc(slices.Clone(b.victimsOf(j, ask, "", ps)), func(h *host) bool { return !h.holds(b, image) })
+		ps.victims[k] = hs
+		return hs
+	}
 	on := map[*host]bool{}
 	for _, o := range b.line {
 		if len(o.places) == 0 || !b.mayStopJob(o, j) {
@@ -74,7 +82,7 @@
 	if covered(ps.spare[k], ask.Need) {
 		return false, ""
 	}
-	ok, host, barren := b.preemptOn(j, ask, ps, func(*placement.Machine, []*Place) bool { return true })
+	ok, host, barren := b.preemptOn(j, ask, ps, anyVictims)
 	if barren {
 		ps.spare[k] = append(ps.spare[k], ask.Need)
 	}
@@ -96,21 +104,35 @@
 	if len(b.byImage[ask.Image]) == 0 {
 		return ""
 	}
-	_, host, _ := b.preemptOn(j, ask, ps, func(m *placement.Machine, victims []*Place) bool {
-		// Only lesser work: to swap one replica for another, as a guarantee
-		// would allow, gains nothing here and costs the other its start.
-		return m.Holds && len(victims) > 0 && !slices.ContainsFunc(victims, func(v *Place) bool {
+	// Only lesser work: to swap one replica for another, as a guarantee would allow, gains
+	// nothing here and costs the other its start.
+	lesser := func(victims []*Place) bool {
+		return len(victims) > 0 && !slices.ContainsFunc(victims, func(v *Place) bool {
 			return v.leewayWanted() > 0 || v.Job.Rec.Spec.Shape == Service || v.Job.priority() >= j.priority()
 		})
-	})
+	}
+	_, host, _ := b.preemptOn(j, ask, ps, victimFilter{image: ask.Image, accepts: lesser})
 	return host
 }
 
+// victimFilter says where tasks may be stopped for another one.
+type victimFilter struct {
+	image   string // only on machines that hold it; empty: on all
+	accepts func([]*Place) bool
+}
+
+var anyVictims = victimFilter{accepts: func([]*Place) bool { return true }}
+
+// enoughCandidates is among how many machines the one is chosen on which stopping others
+// loses least. In a fleet of thousands, on most of which that is possible, to weigh them all
+// for each of hundreds of urgent tasks takes longer than their workers' leases last.
+const enoughCandidates = 200
+
 // displaceable tells whether stopping others would make room on machines
 // without accelerators.
 func (b *ClusterState) displaceable(j *Job, ask *placement.Ask, ps *pass) bool {
 	zones := b.zones(j)
-	for _, h := range b.victimsOf(j, ask, ps) {
+	for _, h := range b.victimsOf(j, ask, "", ps) {
 		m := b.roster.Machines[h.name]
 		t := b.types[m.Type]
 		if t.Accels > 0 || !t.Room().Holds(ask.Need) || zones.may(m.Zone, 1) == 0 {
@@ -124,8 +146,8 @@
 }
 
 // preemptOn picks the machine where stopping others loses least among those
-// that may allows; barren tells that no machine was left to choose from.
-func (b *ClusterState) preemptOn(j *Job, ask *placement.Ask, ps *pass, may func(*placement.Machine, []*Place) bool) (done bool, where string, barren bool) {
+// that the filter allows; barren tells that no machine was left to choose from.
+func (b *ClusterState) preemptOn(j *Job, ask *placement.Ask, ps *pass, filter victimFilter) (done bool, where string, barren bool) {
 	if j.suspect() {
 		return false, "", false // nothing is stopped for what may fail anyway
 	}
@@ -149,7 +171,13 @@
 	var bestVictims []*Place
 	bestLoss := 0.0
 	barren = true
-	for _, h := range b.victimsOf(j, ask, ps) {
+	hosts := b.victimsOf(j, ask, filter.image, ps)
+	first, candidates := 0, 0
+	if len(hosts) > enoughCandidates {
+		first = b.rng.IntN(len(hosts))
+	}
+	for i := 0; i < len(hosts) && candidates < enoughCandidates; i++ {
+		h := hosts[(first+i)%len(hosts)]
 		if _, ok := b.reserved[h.name]; ok {
 			continue
 		}
@@ -166,9 +194,10 @@
 		}
 		barren = false
 		pm := placement.Machine{Name: h.name, Type: t, Zone: m.Zone, Spot: m.Spot, Free: free, Holds: m.Images.Has(ask.Image)}
-		if zones.may(m.Zone, 1) == 0 || !may(&pm, victims) {
+		if zones.may(m.Zone, 1) == 0 || !filter.accepts(victims) {
 			continue
 		}
+		candidates++
 		if ask.Long && t.Accels > ask.Need.Accels {
 			loss += 1e6 // it would hold the dear machine for good
 		}
@@ -182,6 +211,7 @@
 	if best == nil {
 		return false, "", barren
 	}
+	ps.progress++
 	grace := ids.Seconds(0)
 	for _, v := range bestVictims {
 		lee := v.leewayWanted()
--- a/internal/claim/scale_test.go
+++ b/internal/claim/scale_test.go
@@ -277,3 +277,34 @@
 		t.Logf("%d machines: %d questions in %d rounds", machines, questions, rounds)
 	}
 }
+
+func TestDisplacingWorkInALargeFleetWeighsAFewMachinesForEachTask(t *testing.T) {
+	t.Parallel()
+	// Guards against weighing the whole fleet for each of hundreds of urgent tasks, as after
+	// a spot wave: at 6,000 machines the leader stood still until its lease had lapsed.
+	now := time.Now()
+	b := fleet(t, largestFleet)
+	for i := range largestFleet / 30 {
+		r := rec(ids.Job(fmt.Sprintf("job-%d", i)), "blue", Normal, 200, 1)
+		r.Spec.Image = fmt.Sprint("image-", i%20)
+		b.Learn(r.Spec.ID, ids.Revision(i+1), r, now)
+	}
+	planAll(b, now)
+	if placed := countPlaces(b); placed != 4*largestFleet {
+		t.Fatalf("%d tasks fill the fleet", placed)
+	}
+	const urgent = 150
+	r := rec("job-900000", "blue", Critical, urgent, 1)
+	r.Spec.Shape, r.Spec.Image = Service, "image-new"
+	b.Learn(r.Spec.ID, 1, r, now)
+	before := b.machinesExamined
+	for pass := range 2*urgent + 10 {
+		b.Plan(now.Add(time.Duration(pass) * 25 * time.Millisecond))
+	}
+	if placed := len(b.jobs["job-900000"].places); placed != urgent {
+		t.Errorf("%d of %d urgent tasks found a place", placed, urgent)
+	}
+	if looks := b.machinesExamined - before; looks > 5*urgent*enoughCandidates {
+		t.Errorf("%d machines were looked at for %d tasks", looks, urgent)
+	}
+}
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -22,14 +22,15 @@
 	victims          map[victimKey][]*host
 	spare            map[victimKey][]placement.Room // needs for which stopping others frees nothing
 	machinesExamined int                            // machines looked at, for tests and operators
-	tasksPlaced      int
+	progress         int                            // tasks placed and machines on which others were stopped for one
 }
 
-// maxExamined is after how many looks at machines a pass that has placed something ends,
-// and leaves the rest to the next one. Hundreds of jobs that meet thousands of empty
-// machines would otherwise hold the cluster state, and with it all heartbeats, for longer
-// than a worker waits for its answer. A pass that has placed nothing goes on to the end, so
-// that no job is passed over because of others that find no room.
+// maxExamined is after how many looks at machines a pass that has placed a task, or stopped
+// others for one, ends and leaves the rest to the next one. Hundreds of jobs that meet
+// thousands of empty machines, or displace what runs there, would otherwise hold the cluster
+// state, and with it all heartbeats, for longer than a worker waits for its answer. A pass
+// without progress goes on to the end, so that no job is passed over because of others that
+// find no room.
 const maxExamined = 50000
 
 func newPass(now time.Time) *pass {
@@ -68,7 +69,7 @@
 	b.drains(now)
 	ps := newPass(now)
 	for _, j := range b.ranked(now) {
-		if ps.machinesExamined > maxExamined && ps.tasksPlaced > 0 {
+		if ps.machinesExamined > maxExamined && ps.progress > 0 {
 			poke(b.wakePlan)
 			break
 		}
@@ -353,7 +354,7 @@
 		placed++
 	}
 	b.placed(j, placed)
-	ps.tasksPlaced += placed
+	ps.progress += placed
 	j.waiting = why
 	if placed == pending {
 		j.waiting = ""
--- a/internal/claim/survey.go
+++ b/internal/claim/survey.go
@@ -23,6 +23,8 @@
 
 	wide bool
 	all  []sighted // best first
+	// passedOver is what the last look at the list passed over and kept.
+	passedOver []sighted
 }
 
 type sighted struct {
@@ -160,39 +162,37 @@
 }
 
 // best takes the first of the list that still fits; those on which this very
-// task failed before come last.
+// task failed before come last. It costs what it passes over, and not the list.
 func (v *survey) best(r *retry) *host {
-	kept := v.all[:0]
-	var found, avoided *host
-	for _, c := range v.all {
-		if found != nil {
-			kept = append(kept, c)
-			continue
-		}
+	var avoided *host
+	passedOver := v.passedOver[:0]
+	for i, c := range v.all {
 		if c.h.shelf == nil || !c.h.free().Holds(v.ask.Need) {
-			continue // full now
-		}
-		kept = append(kept, c)
-		if v.zones.may(c.m.Zone, 1) == 0 {
-			continue
-		}
-		p := placement.Machine{Name: c.h.name, Free: c.h.free()}
-		if v.b.heldFor(&p, v.j, v.ps.now) {
-			continue
+			continue // full now, so it leaves the list
 		}
-		if r != nil && r.avoid[c.h.name] {
+		if v.fits(c) {
+			if r == nil || !r.avoid[c.h.name] {
+				copy(v.all[i-len(passedOver):], passedOver)
+				v.all, v.passedOver = v.all[i-len(passedOver):], passedOver
+				return c.h
+			}
 			if avoided == nil {
 				avoided = c.h
 			}
-			continue
 		}
-		found = c.h
+		passedOver = append(passedOver, c)
 	}
-	v.all = kept
-	if found == nil {
-		return avoided
+	v.all, v.passedOver = v.all[:copy(v.all, passedOver)], passedOver
+	return avoided
+}
+
+// fits tells whether a machine with enough room is free for this job.
+func (v *survey) fits(c sighted) bool {
+	if v.zones.may(c.m.Zone, 1) == 0 {
+		return false
 	}
-	return found
+	machine := placement.Machine{Name: c.h.name, Free: c.h.free()}
+	return !v.b.heldFor(&machine, v.j, v.ps.now)
 }
 
 func (h *host) holds(b *ClusterState, image string) bool {
--- a/internal/quota/book.go
+++ b/internal/quota/book.go
@@ -72,7 +72,9 @@
 	return t
 }
 
-// Load takes in all that is stored below Prefix, read after the shard was taken over.
+// Load takes in all that is stored below Prefix, read after the shard was taken over. Every
+// change after that reading must reach Learn, so news has to be followed from before it on:
+// a leader that missed what it was given would leave that unused.
 func (b *Book) Load(entries []state.Entry) {
 	for _, e := range entries {
 		b.Learn(state.Change{Put: e.Key, Value: e.Value, Revision: e.Revision})
--- a/internal/quota/leaders_test.go
+++ b/internal/quota/leaders_test.go
@@ -267,13 +267,17 @@
 	t.renewed.Store(sent.UnixNano())
 	t.exchange = quota.NewExchange(t.book, c.client, &c.mu, func() state.Condition { return t.fence })
 	c.workers.fence(shard, t.generation)
+	c.mu.Lock()
+	c.terms[shard] = t // news counts from before the listing on
+	c.mu.Unlock()
 	records, _, err := c.client.ListAll(ctx, t.key(""), state.Urgent)
 	entries, _, err2 := c.client.ListAll(ctx, quota.Prefix, state.Urgent)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if err != nil || err2 != nil {
+		delete(c.terms, shard)
 		return nil
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	for _, e := range records {
 		var record task
 		json.Unmarshal(e.Value, &record)
@@ -281,7 +285,6 @@
 		t.book.Use(record.Team, record.Need)
 	}
 	t.book.Load(entries)
-	c.terms[shard] = t
 	return t
 }
 
