--- a/internal/claim/cluster_state.go
+++ b/internal/claim/cluster_state.go
@@ -9,115 +9,12 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/config"
-	"github.com/pebbletrail/pebbletrail/internal/dependency"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
 	"github.com/pebbletrail/pebbletrail/internal/quota"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
-// Place is a task on, or perhaps on, a machine. It counts against quota and
-// room from before its marker is written until it is proven gone.
-type Place struct {
-	Job     *Job
-	Index   int
-	Machine ids.Machine
-	Session ids.Session
-	Attempt ids.Attempt
-	Token   ids.Generation // generation its start goes out under
-
-	keptUntil time.Time // it is stopped for critical work only until then
-	awaiting  bool      // counted among those that wait for an image
-	version   uint64    // the job's version that first holds it
-	sent      bool      // a start may have gone out
-	beatOffer ids.Tick
-	offered   bool // a start went out in a beat answer
-	seen      bool // a report showed it
-	status    string
-	since     time.Time // placed
-	ranSince  time.Time // first seen running
-
-	stopping bool
-	leeway   ids.Seconds
-	stopAt   time.Time
-	stopSent time.Time
-	why      string
-}
-
-// Task is the task's name.
-func (p *Place) Task() ids.Task { return ids.Task{Job: p.Job.Rec.Spec.ID, Index: p.Index} }
-
-type retry struct {
-	fails int
-	at    time.Time
-	avoid map[ids.Machine]bool
-}
-
-type taskAttempt struct {
-	task    ids.Task
-	attempt ids.Attempt
-	machine ids.Machine
-}
-
-// Job is a job in the leader's memory.
-type Job struct {
-	Rec    Record
-	stamp  ids.Revision
-	places map[int]*Place
-	tries  map[int]*retry
-	// version counts changes here; saved is the newest the store surely has.
-	version, saved uint64
-	settled        map[taskAttempt]uint64 // outcome -> version that holds it
-	reread         time.Time              // its starts wait for a read of the records that began after this
-	ended          bool                   // its final record is stored
-	known          time.Time
-	waiting        string // why tasks wait now
-	logged         string // the same, as last logged
-	maxClaimed     int    // tasks claimed at a time, once a marker did not fit; 0: no such bound
-	slice          slice
-	width          struct {
-		places float64 // bytes that a place took when last stored
-		rest   int     // and all the rest of the record
-		first  int     // and the description alone
-	}
-	oversize             bool      // its record did not fit into a value when last encoded
-	unfit                uint64    // the version that did not fit
-	keptRuns             int       // runs of finished tasks that were kept to make it fit; 0: all
-	lasted               bool      // a start of it was not undone at once, as far as this leader knows
-	emptied              time.Time // when its last place was dropped
-	finishedMayHavePlace bool      // a finished task may still have a place
-	dirtySince           time.Time
-	urgent               bool // what changed must be stored before anything can go on
-	guaranteed           bool // lies within its team's guarantee
-	failed               failures
-	lost                 losses
-	aside                time.Time // when machines to set aside were last looked for
-	// inherited is the urgency of the jobs that await this one.
-	inherited dependency.Urgency
-}
-
-func (j *Job) left() int { return j.Rec.Spec.Tasks - j.Rec.Finished.Len() }
-
-// claimable tells whether tasks of the job may be started.
-func (j *Job) claimable() bool {
-	return !j.ended && (j.Rec.Status == Queued || j.Rec.Status == Claimed) && j.left() > 0
-}
-
-// pending counts the tasks that have no place yet.
-func (j *Job) pending() int {
-	n := j.left() - len(j.places)
-	if j.finishedMayHavePlace {
-		for i := range j.places {
-			if j.Rec.Finished.Has(i) {
-				n++
-			}
-		}
-	}
-	return n
-}
-
-func (j *Job) cancelled() bool { return j.Rec.Status == Cancelling || j.Rec.Status == Cancelled }
-
 // ClusterState is everything the leader knows: jobs, places and machines, under
 // one lock that is never held over a call.
 type ClusterState struct {
@@ -267,35 +164,6 @@
 	poke(b.wakeCommit)
 }
 
-func (b *ClusterState) putPlace(p *Place) {
-	p.Job.places[p.Index] = p
-	if p.Job.Rec.Finished.Has(p.Index) {
-		p.Job.finishedMayHavePlace = true
-	}
-	b.put(b.hostOf(p.Machine), p)
-	b.quota.Use(p.Job.Rec.Spec.Team, p.Job.Rec.Spec.Need)
-}
-
-// dropPlace takes a place off the books: its task is proven not to be there.
-func (b *ClusterState) dropPlace(p *Place) {
-	delete(p.Job.places, p.Index)
-	p.Job.lasted = p.Job.lasted || time.Since(p.since) >= keptFor
-	if len(p.Job.places) == 0 {
-		p.Job.emptied = time.Now()
-	}
-	if h := b.hosts[p.Machine]; h != nil {
-		b.drop(h, p)
-		if m := b.roster.Machines[p.Machine]; m != nil && len(h.places) == 0 {
-			m.IdleSince = time.Now()
-		}
-	}
-	b.quota.Free(p.Job.Rec.Spec.Team, p.Job.Rec.Spec.Need)
-	if p.Job.ended && len(p.Job.places) == 0 {
-		b.unlist(p.Job)
-	}
-	poke(b.wakePlan)
-}
-
 // unlist takes a job out of the cluster state.
 func (b *ClusterState) unlist(j *Job) {
 	delete(b.jobs, j.Rec.Spec.ID)
@@ -317,36 +185,6 @@
 	b.finishIfOver(j)
 }
 
-// stop asks for a task to be stopped, or drops it if its start never went out.
-func (b *ClusterState) stop(p *Place, leeway ids.Seconds, why string) {
-	if !p.sent {
-		b.dropPlace(p)
-		b.touch(p.Job)
-		return
-	}
-	if p.stopping && leeway >= p.leeway {
-		return
-	}
-	p.stopping, p.leeway, p.why, p.stopAt = true, leeway, why, time.Now()
-	b.owe(p)
-	if !p.seen && !p.offeredOnlyByBeat(b) && b.current(p) {
-		// A late start could yet begin it: raise the token so that the worker
-		// turns that away once it hears.
-		b.bump = true
-		poke(b.wakeCommit)
-	}
-	poke(b.wakePlan)
-}
-
-// current tells whether the place's start went out under this generation.
-func (b *ClusterState) current(p *Place) bool { return p.Token == b.gen }
-
-// offeredOnlyByBeat tells that no direct start of the place is unaccounted for.
-func (p *Place) offeredOnlyByBeat(b *ClusterState) bool {
-	m := b.roster.Machines[p.Machine]
-	return m != nil && b.current(p) && !m.MayRevive(p.Task().String(), p.Attempt)
-}
-
 // finishIfOver moves a job to its final status when nothing is left of it.
 func (b *ClusterState) finishIfOver(j *Job) {
 	switch {
--- a/internal/claim/explain.go
+++ b/internal/claim/explain.go
@@ -40,7 +40,7 @@
 		case !p.seen:
 			st = "start not confirmed"
 		}
-		zone, heard := "?", "not heard by this owner"
+		zone, heard := "?", "not heard by this leader"
 		if m := b.roster.Machines[p.Machine]; m != nil && m.Heard {
 			zone, heard = m.Zone, fmt.Sprintf("heard %.1fs ago", m.Silent(now).Seconds())
 		}
--- a/internal/claim/pool.go
+++ b/internal/claim/pool.go
@@ -237,7 +237,7 @@
 	if e, found, ready := p.mirror.Get(GenerationKey); ready && found {
 		var g generationRec
 		if json.Unmarshal(e.Value, &g) == nil && g.Generation > t.Cluster.Generation() && !strings.HasPrefix(g.Writer, p.incarnation+"/") {
-			p.stepDown(t, "another owner raised the generation")
+			p.stepDown(t, "another leader raised the generation")
 		}
 	}
 }
@@ -284,19 +284,19 @@
 		return nil, ErrNotLeader
 	}
 	if !p.Sure(t) {
-		return []string{"the state service has not answered the pool's owner for a moment: nothing is started or stopped until it does"}, nil
+		return []string{"the state service has not answered the pool's leader for a moment: nothing is started or stopped until it does"}, nil
 	}
 	select {
 	case <-t.loaded:
 	default:
-		return []string{"the pool was taken over a moment ago: its new owner is still reading the records"}, nil
+		return []string{"the pool was taken over a moment ago: its new leader is still reading the records"}, nil
 	}
 	lines := t.Cluster.Explain(id)
 	if lines == nil {
-		lines = []string{"the pool's owner has not read of this job yet"}
+		lines = []string{"the pool's leader has not read of this job yet"}
 	}
 	return lines, nil
 }
 
 // ErrNotLeader tells that this node does not own the pool.
-var ErrNotLeader = errors.New("not the pool's owner")
+var ErrNotLeader = errors.New("not the pool's leader")
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -270,7 +270,7 @@
 	go func() {
 		defer close(done)
 		if err := l.call(context.Background(), leader, "Learn", &Wrote{id, stamp, raw}, &Empty{}); err != nil {
-			slog.Debug("owner not told", "job", id, "err", err)
+			slog.Debug("leader not told", "job", id, "err", err)
 		}
 	}()
 	return done
@@ -287,7 +287,7 @@
 	}
 	var out Lines
 	if err := l.call(ctx, leader, "Explain", &Asked{id}, &out); err != nil {
-		return nil, leader, fmt.Errorf("the pool's owner, %s, could not be asked: %w", leader, err)
+		return nil, leader, fmt.Errorf("the pool's leader, %s, could not be asked: %w", leader, err)
 	}
 	return out.Lines, leader, nil
 }
