--- a/cmd/pebbletrail/main.go
+++ b/cmd/pebbletrail/main.go
@@ -55,7 +55,7 @@
 	}
 	r.PersistentFlags().StringVar(&files.platform, "config", "", "the platform's settings file (TOML)")
 	r.PersistentFlags().StringVar(&files.operators, "operators", os.Getenv("PEBBLETRAIL_OPERATORS"), "the operators' own settings (protobuf text format); optional")
-	r.AddCommand(checkCommand(&files), versionCommand(), statusCommand(), explainCommand())
+	r.AddCommand(checkCommand(&files), versionCommand(), statusCommand(), explainCommand(), rehearseCommand())
 	return r
 }
 
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -112,6 +112,13 @@
 	return nil
 }
 
+// Epoch is how many changes were made so far.
+func (s *Store) Epoch() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epoch
+}
+
 // Count counts the keys below a prefix.
 func (s *Store) Count(prefix string) int {
 	s.mu.Lock()
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -46,6 +46,8 @@
 	Nodes                  []string // addresses of the controllers' users side
 	Names                  []string // their names, for redirects
 	Report, Lease          time.Duration
+	// HTTP is how it calls the controllers; nil: over Net.
+	HTTP *http.Client
 	// Watch is told every event as it happens, under the worker's lock.
 	Watch func(Event)
 
@@ -203,6 +205,13 @@
 		"stint": w.session, "tick": w.tick, "baton": w.token, "warningS": w.warning, "pieces": ps}
 }
 
+func (w *Worker) client() *http.Client {
+	if w.HTTP != nil {
+		return w.HTTP
+	}
+	return w.Net.Client(w.Addr)
+}
+
 // sendHeartbeat reports once and tells how long to wait until the next one.
 func (w *Worker) sendHeartbeat(run context.Context) time.Duration {
 	w.wake(run)
@@ -219,7 +228,7 @@
 	ctx, cancel := context.WithTimeout(run, 4*time.Second)
 	defer cancel()
 	req, _ := http.NewRequestWithContext(ctx, "POST", "http://"+node+"/agent/beat", bytes.NewReader(raw))
-	res, err := w.Net.Client(w.Addr).Do(req)
+	res, err := w.client().Do(req)
 	w.wake(run)
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/quota/book.go
+++ b/internal/quota/book.go
@@ -17,7 +17,7 @@
 
 // giveEvery spaces what a shard gives of one team's allowance, so that what becomes idle task
 // by task goes in one transfer.
-const giveEvery = 500 * time.Millisecond
+const giveEvery = time.Second
 
 // Book is one leader's side of the ledgers: what its shard may have, what its tasks use, and
 // what is under way to other shards. It is guarded by the lock of whoever grants: what is
@@ -243,7 +243,7 @@
 
 // asksEvery spaces the changes of stored asks. One for a team that asked for nothing before
 // does not wait for that.
-const asksEvery = time.Second
+const asksEvery = 2 * time.Second
 
 // OwnAsks is what to store for the other leaders to see; due tells whether that differs
 // enough from what is stored to be worth a change now.
--- a/internal/quota/leaders_test.go
+++ b/internal/quota/leaders_test.go
@@ -28,7 +28,7 @@
 // leaseTime is how long a leader of the simulation leads after its last good renewal.
 const leaseTime = 1500 * time.Millisecond
 
-// task is one task of the simulation, in a shard's queue or running.
+// task is one task of the simulation.
 type task struct {
 	ID       string         `json:"id"`
 	Team     string         `json:"team"`
@@ -106,8 +106,8 @@
 	withoutLedger bool
 
 	mu     sync.Mutex
-	queues map[quota.Shard][]task
-	pauses map[string]time.Time // until when a controller stands still
+	queues map[quota.Shard][]task // all that has not ended
+	pauses map[string]time.Time   // until when a controller stands still
 	lives  int
 }
 
@@ -156,16 +156,6 @@
 	s.queues[shard] = append(s.queues[shard], t)
 }
 
-// waiting counts the tasks that have not begun.
-func (s *simulation) waiting() (n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, queue := range s.queues {
-		n += len(queue)
-	}
-	return n
-}
-
 // pause lets a controller stand still wherever it is.
 func (s *simulation) pause(node string, d time.Duration) {
 	s.mu.Lock()
@@ -308,7 +298,9 @@
 	go t.exchange.Run(ctx, 100*time.Millisecond)
 	for ctx.Err() == nil {
 		t.settle(ctx)
-		t.grant(ctx)
+		if !t.grant(ctx) {
+			return // replaced, or ended
+		}
 		time.Sleep(50 * time.Millisecond)
 	}
 }
@@ -331,16 +323,13 @@
 		delete(t.tasks, record.ID)
 		t.book.Free(record.Team, record.Need)
 		t.c.mu.Unlock()
-		if _, ended := t.c.workers.gone(record.ID); !ended {
-			t.c.submit(t.shard, record) // its start was turned away
-		}
 	}
 }
 
-// grant starts what the shard's queue and the team's allowance allow, the first first.
-func (t *term) grant(ctx context.Context) {
-	picked := t.pick()
-	for i, next := range picked {
+// grant starts what the shard's queue and the team's allowance allow, the first first. It
+// tells whether this leader may go on.
+func (t *term) grant(ctx context.Context) bool {
+	for _, next := range t.pick() {
 		raw, _ := json.Marshal(next)
 		var err error
 		for {
@@ -351,14 +340,12 @@
 			}
 		}
 		if err != nil {
-			for _, dropped := range picked[i:] {
-				t.c.submit(t.shard, dropped) // its next leader starts it
-			}
-			return
+			return false // its next leader starts it
 		}
 		t.c.stand(t.c.name) // between writing and sending
 		t.c.workers.start(t.shard, t.generation, next)
 	}
+	return true
 }
 
 // pick decides what to start, counts it as in use and tells the book what waits.
@@ -370,8 +357,12 @@
 	var left []task
 	demands := map[string]quota.Demand{}
 	for _, next := range t.c.queues[t.shard] {
+		if _, ended := t.c.workers.gone(next.ID); ended {
+			continue
+		}
+		left = append(left, next)
 		if _, recorded := t.tasks[next.ID]; recorded {
-			continue // an earlier leader queued it again although its write was applied
+			continue
 		}
 		room := t.book.Left(next.Team)
 		if t.c.withoutLedger {
@@ -383,7 +374,6 @@
 			picked = append(picked, next)
 			continue
 		}
-		left = append(left, next)
 		demand, found := demands[next.Team]
 		if !found {
 			demand = quota.Demand{Unit: quota.AmountOf(next.Need), Rank: quota.Rank{Priority: next.Priority, Since: ids.WallOf(next.since)}}
@@ -417,7 +407,7 @@
 func (s *simulation) finish(tasks int, within time.Duration) {
 	s.t.Helper()
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(time.Second) {
-		if _, ended := s.workers.record(); ended == tasks && s.waiting() == 0 {
+		if _, ended := s.workers.record(); ended == tasks {
 			return
 		}
 	}
