--- a/cmd/pebbletrail/machine_types.go
+++ b/cmd/pebbletrail/machine_types.go
@@ -16,11 +16,11 @@
 // machineTypes are the machine types on offer, which every node needs to judge
 // submissions; the owner stores them for times when the cloud is down.
 type machineTypes struct {
-	cloud *fleet.Cloud
-	pool  *claim.Pool
-	mu    sync.Mutex
-	types []placement.Type
-	kept  string // what was last stored, without prices
+	cloud  *fleet.Cloud
+	shards *claim.Shards
+	mu     sync.Mutex
+	types  []placement.Type
+	kept   string // what was last stored, without prices
 }
 
 // known is the newest list this node has, or else the stored one.
@@ -31,7 +31,7 @@
 	if len(ts) > 0 {
 		return ts
 	}
-	return m.pool.Types()
+	return m.shards.Types()
 }
 
 // run asks the cloud until types are known.
--- a/cmd/pebbletrail/main.go
+++ b/cmd/pebbletrail/main.go
@@ -27,14 +27,18 @@
 }
 
 // settingsFiles are the files that the flags name.
-type settingsFiles struct{ platform, operators string }
+type settingsFiles struct{ platform, operators, features string }
 
 // load reads and checks the settings.
 func (f *settingsFiles) load() (*config.Settings, error) {
 	if f.platform == "" {
 		return nil, fmt.Errorf("--config FILE is needed (see --help)")
 	}
-	return config.Load(f.platform, f.operators)
+	set, err := config.Load(f.platform, f.operators)
+	if err != nil {
+		return nil, err
+	}
+	return set, set.LoadFeatures(f.features)
 }
 
 func root() *cobra.Command {
@@ -55,6 +59,7 @@
 	}
 	r.PersistentFlags().StringVar(&files.platform, "config", "", "the platform's settings file (TOML)")
 	r.PersistentFlags().StringVar(&files.operators, "operators", os.Getenv("PEBBLETRAIL_OPERATORS"), "the operators' own settings (protobuf text format); optional")
+	r.PersistentFlags().StringVar(&files.features, "features", os.Getenv("PEBBLETRAIL_FEATURES"), "what is switched on, the same at all controllers (protobuf text format); optional")
 	r.AddCommand(checkCommand(&files), versionCommand(), statusCommand(), explainCommand(), rehearseCommand())
 	return r
 }
--- a/cmd/pebbletrail/rehearse.go
+++ b/cmd/pebbletrail/rehearse.go
@@ -38,8 +38,8 @@
 			out := cmd.OutOrStdout()
 			fmt.Fprintf(out, "%d jobs, %d accepted, %d refusals, %d starts, %d changes of the state service in %v\n",
 				found.Jobs, found.Accepted, found.Refusals, found.Starts, found.Changes, found.Took.Round(time.Second))
-			fmt.Fprintf(out, "breaches of a limit: %d; accepted jobs never started: %d; waits within the guarantee: %v\n",
-				len(found.Breaches), len(found.Unserved), found.GuaranteeWaits)
+			fmt.Fprintf(out, "breaches of a limit: %d; tasks doubled: %d; accepted jobs never started: %d; waits within the guarantee: %v\n",
+				len(found.Breaches), len(found.Doubled), len(found.Unserved), found.GuaranteeWaits)
 			for _, breach := range found.Breaches {
 				fmt.Fprintln(out, breach)
 			}
@@ -59,6 +59,7 @@
 	flags.Uint64Var(&options.Seed, "seed", 1, "decides jobs and failures")
 	flags.IntVar(&options.Controllers, "controllers", 5, "controller processes")
 	flags.IntVar(&options.Machines, "machines", 3, "stand-in machines to rent, of 8 cores and 2 accelerators")
+	flags.IntVar(&options.Shards, "shards", 1, "shards of the machine pool, each with a leader")
 	flags.IntVar(&options.Jobs, "jobs", 1000, "jobs submitted at the same moment, twice")
 	flags.DurationVar(&options.Within, "within", 20*time.Second, "how soon a guarantee has to be reached")
 	flags.DurationVar(&options.Longest, "longest", 10*time.Minute, "the run ends by then, whatever happens")
--- a/cmd/pebbletrail/serve.go
+++ b/cmd/pebbletrail/serve.go
@@ -16,6 +16,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/fleet"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/intake"
 	"github.com/pebbletrail/pebbletrail/internal/measure"
 	"github.com/pebbletrail/pebbletrail/internal/peer"
@@ -81,7 +82,7 @@
 	incarnation string
 	state       *state.Client
 	cloud       *fleet.Cloud
-	pool        *claim.Pool
+	shards      *claim.Shards
 	link        *peer.Link
 	types       *machineTypes
 }
@@ -92,34 +93,45 @@
 	c := &controller{set: set, incarnation: incarnation}
 	c.state = state.NewClient(set.Services.State, client(16, 16),
 		state.NewBudget(set.Params.State.RPS, set.Params.State.WriteRPS, nodes, set.Own.OwnerShare))
-	c.cloud = fleet.NewCloud(set.Services.Cloud, client(4, 4), set.Params.Cloud.RPS)
+	c.state.Budget().SplitLeaderShare(set.Shards())
+	c.cloud = fleet.NewCloud(set.Services.Cloud, client(4, 4), set.Params.Cloud.RPS/float64(set.Shards()))
 	commander := &worker.Commander{HTTP: client(2, set.Sockets().Direct/2), Timeout: 3 * time.Second}
-	c.pool = claim.NewPool(set, c.state, commander, incarnation)
-	c.link = peer.NewLink(set, c.pool, c.state)
-	c.pool.Peers = c.link
-	c.types = &machineTypes{cloud: c.cloud, pool: c.pool}
-	c.pool.OnTerm = c.provision
+	c.shards = claim.NewShards(set, c.state, commander, incarnation)
+	c.shards.Refuse = refuse
+	c.link = peer.NewLink(set, c.shards, c.state)
+	c.types = &machineTypes{cloud: c.cloud, shards: c.shards}
+	for i, pool := range c.shards.Pools() {
+		shard := ids.Shard(i)
+		pool.Peers = c.link.ForShard(shard)
+		pool.OnTerm = func(ctx context.Context, t *claim.Term) { c.provision(ctx, pool, shard, t) }
+	}
 	return c
 }
 
+// refuse ends the process: with this store it must not take part.
+func refuse(err error) {
+	fmt.Fprintln(os.Stderr, "pebbletrail: "+err.Error())
+	os.Exit(1)
+}
+
 // run serves until the users' listener ends.
 func (c *controller) run(ctx context.Context, users, cluster net.Listener) error {
 	go c.link.Serve(cluster)
 	c.link.Run(ctx)
 	go c.types.run(ctx)
-	go c.state.Watch(ctx, claim.GenerationKey)
+	go c.state.Watch(ctx, claim.KeysOf(0, c.set.Shards()).Generation())
 	go func() {
 		for ctx.Err() == nil {
 			time.Sleep(time.Minute)
 			measure.Process.Log()
 		}
 	}()
-	go c.pool.Run(ctx)
+	go c.shards.Run(ctx)
 	site := &intake.Site{
 		Version: version,
-		Jobs: &intake.JobService{Set: c.set, State: c.state, Jobs: c.pool.Jobs(), LeaderNotifier: c.link, Writer: c.incarnation,
+		Jobs: &intake.JobService{Set: c.set, State: c.state, Jobs: c.shards.Jobs(), LeaderNotifier: c.link, Writer: c.incarnation,
 			Types: c.types.known},
-		Heartbeats: c.pool,
+		Heartbeats: c.shards,
 		Ready:      c.ready,
 		Live:       c.link.Explain,
 		Status:     c.status,
@@ -128,10 +140,16 @@
 		IdleTimeout: max(20*time.Second, 3*c.set.Params.Workers.ReportS.Duration()+5*time.Second)})
 }
 
-// provision rents and returns machines while this node owns the pool.
-func (c *controller) provision(ctx context.Context, t *claim.Term) {
-	p := &fleet.Provisioner{Cloud: c.cloud, Cluster: t.Cluster, Store: t.Committer, Gen: t.Gen, Sure: func() bool { return c.pool.Sure(t) },
+// provision rents and returns machines while this node leads a shard.
+func (c *controller) provision(ctx context.Context, pool *claim.Pool, shard ids.Shard, t *claim.Term) {
+	p := &fleet.Provisioner{Cloud: c.cloud, Cluster: t.Cluster, Store: t.Committer, Gen: t.Gen, Sure: func() bool { return pool.Sure(t) },
+		Keys: claim.KeysOf(shard, c.set.Shards()), Shard: shard,
 		ListEvery: max(2*time.Second, c.set.Params.Cloud.ListLagS.Duration()/2)}
+	if c.set.Shards() > 1 {
+		p.Cloud = fleet.NewCloud(c.set.Services.Cloud, client(2, 2), c.set.Params.Cloud.RPS/float64(c.set.Shards()))
+		p.OthersLack = func() (time.Duration, int) { return c.shards.OthersLack(shard) }
+		p.Owns = func(machine ids.Machine) bool { return c.shards.Owns(shard, machine) }
+	}
 	if ts := c.types.known(); len(ts) > 0 {
 		t.Cluster.SetTypes(ts)
 	}
@@ -156,19 +174,40 @@
 
 // status describes the node for GET /v2/status.
 func (c *controller) status() any {
-	leader, _ := c.pool.Leader()
+	pools := c.shards.Pools()
+	leader, _ := pools[0].Leader()
 	out := map[string]any{"node": c.set.HostName, "version": version, "incarnation": c.incarnation, "owner": leader}
 	out["took"], out["counts"] = measure.Process.Summary()
-	if b := c.pool.Cluster(); b != nil {
+	if len(pools) > 1 {
+		out["shards"] = shardsStatus(pools)
+		return out
+	}
+	if b := pools[0].Cluster(); b != nil {
 		out["pool"] = b.Summary()
 	}
 	return out
 }
 
-// workers is how many machines may connect to this node.
-func (c *controller) workers() int {
-	if b := c.pool.Cluster(); b != nil {
-		return b.Machines()
+// shardStatus describes one shard as this node sees it.
+type shardStatus struct {
+	Shard  int      `json:"shard"`
+	Leader ids.Node `json:"leader"`
+	// Pool and Alarms are told by the leader only.
+	Pool   any      `json:"pool,omitempty"`
+	Alarms []string `json:"alarms,omitempty"`
+}
+
+func shardsStatus(pools []*claim.Pool) (all []shardStatus) {
+	for shard, pool := range pools {
+		leader, _ := pool.Leader()
+		of := shardStatus{Shard: shard, Leader: leader}
+		if b := pool.Cluster(); b != nil {
+			of.Pool, of.Alarms = b.Summary(), b.QuotaFaults()
+		}
+		all = append(all, of)
 	}
-	return 0
+	return all
 }
+
+// workers is how many machines may connect to this node.
+func (c *controller) workers() int { return c.shards.Machines() }
--- a/internal/claim/apply.go
+++ b/internal/claim/apply.go
@@ -18,6 +18,6 @@
 			return fmt.Errorf("%w: %d bytes at %s, of at most %d", state.ErrMalformed, len(op.Value), op.Put, limit)
 		}
 	}
-	_, err := c.State.Commit(ctx, state.Txn{When: []state.Condition{{Key: GenerationKey, Revision: c.GenStamp}}, Then: ops}, state.Normal)
+	_, err := c.State.Commit(ctx, state.Txn{When: []state.Condition{{Key: c.Keys.Generation(), Revision: c.GenStamp}}, Then: ops}, state.Normal)
 	return err
 }
--- a/internal/claim/cluster_state.go
+++ b/internal/claim/cluster_state.go
@@ -45,8 +45,18 @@
 	first            ids.Generation       // the term's first generation
 
 	quota *quota.Book // what each team uses and may still have
-	types map[string]*placement.Type
-	rng   *rand.Rand
+	// lackSince is since when the cloud refuses what waiting jobs need, othersLack whether
+	// another shard tells the same, and gaveUp when a machine was last given up for that.
+	lackSince, gaveUp time.Time
+	othersLack        bool
+
+	shard ids.Shard
+	keys  ShardKeys
+	// elsewhere is how a live job of another shard stands, by this node's copy of the
+	// records; live is false if there is none.
+	elsewhere func(id ids.Job) (how Status, live bool)
+	types     map[string]*placement.Type
+	rng       *rand.Rand
 	// trustSilence is the earliest that an unheard machine's lapse counts: a
 	// predecessor may have gone on answering its worker until its own grace
 	// ended.
@@ -82,10 +92,17 @@
 	wakeCommit, wakePlan chan struct{}
 }
 
-// NewClusterState makes the cluster state of one term of ownership.
+// NewClusterState makes the cluster state of one term of leading the first shard.
 func NewClusterState(set *config.Settings, writer string, gen ids.Generation, trustSilence time.Time) *ClusterState {
+	return newShardState(set, writer, gen, trustSilence, 0)
+}
+
+// newShardState makes the cluster state of one term of leading a shard.
+func newShardState(set *config.Settings, writer string, gen ids.Generation, trustSilence time.Time, shard ids.Shard) *ClusterState {
 	return &ClusterState{
-		set: set, writer: writer, gen: gen, first: gen,
+		shard: shard, keys: KeysOf(shard, set.Shards()),
+		elsewhere: func(ids.Job) (Status, bool) { return "", false },
+		set:       set, writer: writer, gen: gen, first: gen,
 		jobs: map[ids.Job]*Job{}, gone: map[ids.Job]bool{},
 		roster:        worker.NewRegistry(set.Params.Workers.LeaseS),
 		hosts:         map[ids.Machine]*host{},
@@ -94,7 +111,7 @@
 		leaving:       map[ids.Machine]bool{},
 		due:           map[*host]bool{},
 		dirty:         map[*Job]bool{},
-		quota:         quota.NewBook(0, 1, teamLimits(set), 0),
+		quota:         quota.NewBook(shard, set.Shards(), teamLimits(set), processStart),
 		types:         map[string]*placement.Type{},
 		rng:           rand.New(rand.NewPCG(uint64(gen), uint64(len(writer)))),
 		trustSilence:  trustSilence,
--- a/internal/claim/commit.go
+++ b/internal/claim/commit.go
@@ -27,6 +27,7 @@
 	Cluster  *ClusterState
 	State    *state.Client
 	Node     ids.Node
+	Keys     ShardKeys
 	GenStamp ids.Revision
 	// OnLost is called once another leader is known to have taken over.
 	OnLost func(why string)
@@ -43,7 +44,7 @@
 
 // NewCommitter makes the committer of one term.
 func NewCommitter(b *ClusterState, s *state.Client, node ids.Node, stamp ids.Revision) *Committer {
-	return &Committer{Cluster: b, State: s, Node: node, GenStamp: stamp, turn: make(chan struct{}, 1),
+	return &Committer{Cluster: b, State: s, Node: node, Keys: b.keys, GenStamp: stamp, turn: make(chan struct{}, 1),
 		OnLost: func(string) {}}
 }
 
@@ -87,7 +88,7 @@
 	if len(group) == 0 {
 		return false
 	}
-	txn := state.Txn{When: []state.Condition{{Key: GenerationKey, Revision: c.GenStamp}}}
+	txn := state.Txn{When: []state.Condition{{Key: c.Keys.Generation(), Revision: c.GenStamp}}}
 	for _, p := range group {
 		txn.When = append(txn.When, p.conds...)
 		txn.Then = append(txn.Then, p.ops...)
@@ -188,8 +189,8 @@
 	b.mu.Unlock()
 	raw, _ := json.Marshal(generationRec{next, c.Node, b.writer})
 	epoch, err := c.State.Commit(ctx, state.Txn{
-		When: []state.Condition{{Key: GenerationKey, Revision: c.GenStamp}},
-		Then: []state.Op{{Put: GenerationKey, Value: raw}},
+		When: []state.Condition{{Key: c.Keys.Generation(), Revision: c.GenStamp}},
+		Then: []state.Op{{Put: c.Keys.Generation(), Value: raw}},
 	}, state.Urgent)
 	var conflict *state.Conflict
 	switch {
--- a/internal/claim/gang.go
+++ b/internal/claim/gang.go
@@ -41,6 +41,7 @@
 		}
 	}
 	if b.mayHave(j, missing, now) < missing {
+		ps.lacks(j, missing)
 		j.waiting = b.quota.Explain(s.Team)
 		if b.yield(j, missing, now) {
 			j.waiting += "; lesser work of its own makes way"
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -80,7 +80,10 @@
 		types = append(types, t)
 	}
 	sort.Slice(types, func(x, y int) bool { return types[x].Label < types[y].Label })
-	ds = append(b.demands(now), b.keeps()...)
+	ds = b.demands(now)
+	if !b.othersLack {
+		ds = append(ds, b.keeps()...)
+	}
 	late := b.latecomers(now)
 	for _, m := range b.roster.Sorted() {
 		t := b.types[m.Type]
--- a/internal/claim/outcomes.go
+++ b/internal/claim/outcomes.go
@@ -122,7 +122,14 @@
 func (c *Committer) lookedUp(ctx context.Context, id ids.Job, e state.Entry, found bool, now time.Time) {
 	b := c.Cluster
 	if !found {
+		if _, live := b.elsewhere(id); live {
+			b.stopAsking(id)
+			return
+		}
 		b.askAgain(id, now)
+		if !b.mine(id) {
+			return
+		}
 		// It may be live after all, by a write of this leader's without an answer.
 		c.findLive(ctx, id, now)
 		return
--- a/internal/claim/pipeline.go
+++ b/internal/claim/pipeline.go
@@ -40,9 +40,9 @@
 	case rec == nil && w != nil && stamp > w.stamp:
 		// Its user cancelled it, or it is this leader's own move, whose answer is
 		// on its way or lost: then the next try of it finds out.
-		if !b.pipes.graph.IsReady(id) && b.pipes.graph.CancelledBy(id) == "" {
+		if !b.mine(id) || !b.pipes.graph.IsReady(id) && b.pipes.graph.CancelledBy(id) == "" {
 			b.unwait(w)
-			b.ask(id, now)
+			b.checkAwaited(id, now)
 		}
 	case rec == nil && w == nil && b.pipes.left != nil:
 		b.pipes.left[id] = stamp
@@ -94,6 +94,10 @@
 		return
 	}
 	j := b.jobs[id]
+	if !b.mine(id) && b.pipes.waits[id] == nil {
+		b.checkElsewhere(id, now)
+		return
+	}
 	switch {
 	case j != nil && j.cancelled():
 		b.cancelDependents(id)
--- a/internal/claim/pool.go
+++ b/internal/claim/pool.go
@@ -33,6 +33,8 @@
 	AllStopped(ctx context.Context, gen ids.Generation, of ...ids.Node) bool
 	// Alone tells that none of the other controllers has been heard lately.
 	Alone() bool
+	// Served tells that another controller is up and served by the state service.
+	Served(node ids.Node) bool
 }
 
 // Term is one spell of owning the pool.
@@ -59,6 +61,8 @@
 	// OnTerm starts what else runs during a term, such as the fleet's keeper.
 	OnTerm func(ctx context.Context, t *Term)
 
+	shard       ids.Shard
+	keys        ShardKeys
 	incarnation string
 	mirror      *state.Mirror
 	jobs        *state.Mirror
@@ -68,46 +72,67 @@
 
 	mu      sync.Mutex
 	term    *Term
-	resting time.Time              // no campaign before
-	last    lastLeader             // who owned the pool before this node
-	hints   map[ids.Machine]Hint   // of the last leader heard
-	heardTo HintMark               // what of its hints is here
-	sent    map[ids.Machine]sentOn // workers sent on to the leader
+	resting time.Time  // no campaign before
+	last    lastLeader // who owned the pool before this node
+	// vacancy is since when the shard has been seen without a leader, and vacancySeen when
+	// it last was.
+	vacancy, vacancySeen time.Time
+	hints                map[ids.Machine]Hint   // of the last leader heard
+	heardTo              HintMark               // what of its hints is here
+	sent                 map[ids.Machine]sentOn // workers sent on to the leader
 }
 
-// NewPool makes the pool's client; incarnation tells this process from its
-// node's earlier ones.
+// NewPool makes the client of a pool that is one shard; incarnation tells this process from
+// its node's earlier ones.
 func NewPool(set *config.Settings, c *state.Client, cmd *worker.Commander, incarnation string) *Pool {
-	p := &Pool{Set: set, State: c, Commander: cmd, incarnation: incarnation, sent: map[ids.Machine]sentOn{}}
+	p := newPool(set, c, cmd, incarnation, 0, newMirrors(c))
+	p.jobs.OnChange = p.followJobs
+	return p
+}
+
+// mirrors are this node's copies of what is stored, which all its shards share.
+type mirrors struct{ pool, jobs *state.Mirror }
+
+func newMirrors(c *state.Client) mirrors {
+	return mirrors{pool: state.NewMirror(c, PoolPrefix, 100*time.Millisecond), jobs: state.NewMirror(c, JobPrefix, 400*time.Millisecond)}
+}
+
+// newPool makes the client of one shard.
+func newPool(set *config.Settings, c *state.Client, cmd *worker.Commander, incarnation string, shard ids.Shard, copies mirrors) *Pool {
+	p := &Pool{Set: set, State: c, Commander: cmd, incarnation: incarnation, sent: map[ids.Machine]sentOn{},
+		shard: shard, keys: KeysOf(shard, set.Shards()), mirror: copies.pool, jobs: copies.jobs}
 	p.known = p.Leader
-	p.mirror = state.NewMirror(c, PoolPrefix, 100*time.Millisecond)
-	p.jobs = state.NewMirror(c, JobPrefix, 400*time.Millisecond)
 	p.readAt = p.jobs.AsOf
-	p.jobs.OnChange = func(ch state.Change) {
-		id, kind := keyed(ch.Key())
-		switch kind {
-		case waitingRecord:
-			p.learnWaiting(id, ch)
-			return
-		case storedCancellation:
-			if b := p.Cluster(); b != nil {
-				b.LearnCancellation(id, ch.Revision, ch.Put == "")
-			}
-			return
-		}
-		if ch.Put == "" {
-			p.Learn(id, ch.Revision, nil)
-			return
-		}
-		b := p.Cluster()
-		if b == nil || b.wrote(ch.Value) {
-			return
-		}
-		if rec, err := Decode(ch.Value); err == nil {
-			p.Learn(id, ch.Revision, rec)
+	return p
+}
+
+// followJobs takes in news of a job's records.
+func (p *Pool) followJobs(ch state.Change) {
+	id, kind := keyed(ch.Key())
+	switch {
+	case kind == waitingRecord:
+		p.learnWaiting(id, ch)
+		return
+	case ids.ShardOf(id, p.Set.Shards()) != p.shard:
+		p.learnOfOtherShard(id, ch)
+		return
+	case kind == storedCancellation:
+		if b := p.Cluster(); b != nil {
+			b.LearnCancellation(id, ch.Revision, ch.Put == "")
 		}
+		return
+	}
+	if ch.Put == "" {
+		p.Learn(id, ch.Revision, nil)
+		return
+	}
+	b := p.Cluster()
+	if b == nil || b.wrote(ch.Value) {
+		return
+	}
+	if rec, err := Decode(ch.Value); err == nil {
+		p.Learn(id, ch.Revision, rec)
 	}
-	return p
 }
 
 // Jobs is this node's copy of the live records.
@@ -115,10 +140,15 @@
 
 // Run takes part until the context ends.
 func (p *Pool) Run(ctx context.Context) {
-	p.still.onWake = p.woke
-	go p.still.run(ctx)
 	go p.mirror.Run(ctx)
 	go p.jobs.Run(ctx)
+	p.lead(ctx)
+}
+
+// lead takes part in leading the shard until the context ends.
+func (p *Pool) lead(ctx context.Context) {
+	p.still.onWake = p.woke
+	go p.still.run(ctx)
 	life := time.Duration(p.Set.Own.PoolHoldMs) * time.Millisecond
 	for ctx.Err() == nil {
 		if t := p.Term(); t != nil {
@@ -129,7 +159,7 @@
 			continue
 		}
 		p.watchLeader()
-		if p.vacant() {
+		if p.vacant() && p.mayCampaign(time.Now()) {
 			if err := p.campaign(ctx, life); err != nil {
 				slog.Debug("campaign failed", "err", err)
 				wait(ctx, 200*time.Millisecond)
@@ -160,7 +190,7 @@
 	if p.Term() != nil {
 		return p.Set.HostName, true
 	}
-	e, found, ready := p.mirror.Get(LeaderKey)
+	e, found, ready := p.mirror.Get(p.keys.Leader())
 	if !ready || !found {
 		return "", false
 	}
@@ -193,6 +223,9 @@
 	run(t.Committer.lookUps)
 	run(t.Dispatcher.Run)
 	run(t.plan)
+	if p.Set.Shards() > 1 {
+		run(func(ctx context.Context) { p.exchangeAllowances(ctx, t) })
+	}
 	if p.OnTerm != nil {
 		run(func(ctx context.Context) { p.OnTerm(ctx, t) })
 	}
@@ -234,7 +267,7 @@
 		slog.Debug("renewal failed", "err", err)
 	}
 	p.checkDeaf(t)
-	if e, found, ready := p.mirror.Get(GenerationKey); ready && found {
+	if e, found, ready := p.mirror.Get(p.keys.Generation()); ready && found {
 		var g generationRec
 		if json.Unmarshal(e.Value, &g) == nil && g.Generation > t.Cluster.Generation() && !strings.HasPrefix(g.Writer, p.incarnation+"/") {
 			p.stepDown(t, "another leader raised the generation")
--- a/internal/claim/promote.go
+++ b/internal/claim/promote.go
@@ -18,6 +18,9 @@
 	b := c.Cluster
 	if over {
 		for id := range b.pipes.graph.Cancelled() {
+			if !b.mine(id) {
+				continue
+			}
 			if p, ok := c.moveOf(id, true); ok && !add(p) {
 				return
 			}
@@ -58,6 +61,9 @@
 	}
 	var entries []entry
 	for id := range jobs {
+		if !b.mine(id) {
+			continue // its shard's leader moves it
+		}
 		rec := b.pipes.waits[id].rec
 		entries = append(entries, entry{id, max(int(rec.Spec.Priority), b.pipes.graph.Inherited(id).Priority), rec.Submitted})
 	}
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -17,14 +17,11 @@
 
 // Where things are kept in the state service.
 const (
-	LeaderKey     = "pool/owner"
-	GenerationKey = "pool/generation"
-	PoolPrefix    = "pool/"
-	TypesKey      = "pool/types"
-	HirePrefix    = "pool/hire/"
-	JobPrefix     = "job/"
-	EndPrefix     = "end/"
-	WaitPrefix    = "job/wait/"
+	PoolPrefix = "pool/"
+	TypesKey   = "pool/types"
+	JobPrefix  = "job/"
+	EndPrefix  = "end/"
+	WaitPrefix = "job/wait/"
 )
 
 // JobKey and EndKey are a job's live record and, once it is over, its last.
--- a/internal/claim/repair.go
+++ b/internal/claim/repair.go
@@ -13,8 +13,8 @@
 // lost and the change is ours, or another controller wrote.
 func (c *Committer) repair(ctx context.Context, conflict *state.Conflict, group []pending) {
 	b := c.Cluster
-	if conflict.Has(GenerationKey) {
-		e, found, err := c.State.Get(ctx, GenerationKey, state.Urgent)
+	if conflict.Has(c.Keys.Generation()) {
+		e, found, err := c.State.Get(ctx, c.Keys.Generation(), state.Urgent)
 		if err != nil {
 			wait(ctx, 100*time.Millisecond)
 			return
--- a/internal/claim/returns.go
+++ b/internal/claim/returns.go
@@ -64,6 +64,8 @@
 		return "up but never heard"
 	case !m.Heard && !m.Booting && si.dark(m.Zone) && b.trustSilence.Sub(now) < b.set.Params.Workers.LeaseS.Duration()*2/3 && b.movable(m, si):
 		return "its zone is dark, and its replicas can start elsewhere"
+	case m.Heard && empty && !needed[m.Name] && b.othersLack:
+		return givenUp
 	case m.Heard && empty && !needed[m.Name] && now.Sub(m.IdleSince).Seconds() > b.set.Own.IdleReturnS && now.Sub(m.HeldSince) > time.Minute:
 		return "idle"
 	}
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -8,6 +8,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/measure"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/quota"
 )
 
 // pass is what one planning pass has found out so far, so that jobs alike do
@@ -18,6 +19,7 @@
 	victims          map[victimKey][]*host
 	spare            map[victimKey][]placement.Room // needs for which stopping others frees nothing
 	machinesExamined int                            // machines looked at, for tests and operators
+	demands          map[string]quota.Demand        // by team, of tasks that only the team's allowance holds back
 	progress         int                            // tasks placed and machines on which others were stopped for one
 }
 
@@ -30,7 +32,7 @@
 const maxExamined = 50000
 
 func newPass(now time.Time) *pass {
-	return &pass{now: now, full: map[fullKey][]placement.Room{}, victims: map[victimKey][]*host{}, spare: map[victimKey][]placement.Room{}}
+	return &pass{now: now, full: map[fullKey][]placement.Room{}, victims: map[victimKey][]*host{}, spare: map[victimKey][]placement.Room{}, demands: map[string]quota.Demand{}}
 }
 
 // fullKey is what decides, beside the amount, which machines an ask may use.
@@ -63,10 +65,13 @@
 	}
 	defer measure.Process.Took("planning pass", time.Now())
 	b.drains(now)
+	b.payOwed()
 	ps := newPass(now)
+	whole := true
 	for _, j := range b.ranked(now) {
 		if ps.machinesExamined > maxExamined && ps.progress > 0 {
 			poke(b.wakePlan)
+			whole = false
 			break
 		}
 		b.claim(j, ps)
@@ -75,6 +80,9 @@
 			slog.Debug("waits", "class", j.Rec.Spec.Class, "job", j.Rec.Spec.ID, "why", j.waiting, "left", j.left(), "placed", len(j.places))
 		}
 	}
+	if whole {
+		b.quota.SetDemands(ps.demands)
+	}
 	b.machinesExamined += ps.machinesExamined
 	b.sample(now)
 }
@@ -107,6 +115,7 @@
 	case open <= 0:
 		why = "as many of its tasks are under way as a record of the state service holds"
 	case allowed <= 0:
+		ps.lacks(j, min(pending, open))
 		why = b.quota.Explain(s.Team)
 		if b.yield(j, pending, now) {
 			why += "; lesser work of its own makes way"
--- a/internal/claim/takeover.go
+++ b/internal/claim/takeover.go
@@ -24,7 +24,7 @@
 	p.mu.Lock()
 	resting := time.Now().Before(p.resting)
 	p.mu.Unlock()
-	e, found, ready := p.mirror.Get(LeaderKey)
+	e, found, ready := p.mirror.Get(p.keys.Leader())
 	if !ready || resting {
 		return false
 	}
@@ -37,7 +37,7 @@
 
 // campaign tries to take the pool over.
 func (p *Pool) campaign(ctx context.Context, life time.Duration) error {
-	cur, found, err := p.State.Get(ctx, LeaderKey, state.Urgent)
+	cur, found, err := p.State.Get(ctx, p.keys.Leader(), state.Urgent)
 	if err != nil {
 		return err
 	}
@@ -58,7 +58,7 @@
 		}
 	}
 	var prev generationRec
-	ge, found, err := p.State.Get(ctx, GenerationKey, state.Urgent)
+	ge, found, err := p.State.Get(ctx, p.keys.Generation(), state.Urgent)
 	if err != nil {
 		return err
 	}
@@ -77,12 +77,12 @@
 	oraw, _ := json.Marshal(leaderRecord{p.Set.HostName, writer, hold, gen})
 	graw, _ := json.Marshal(generationRec{gen, p.Set.HostName, writer})
 	epoch, err := p.State.Commit(ctx, state.Txn{
-		When: []state.Condition{{Key: LeaderKey}, {Key: GenerationKey, Revision: ge.Revision}},
-		Then: []state.Op{{Put: LeaderKey, Value: oraw, Lease: hold}, {Put: GenerationKey, Value: graw}},
+		When: []state.Condition{{Key: p.keys.Leader()}, {Key: p.keys.Generation(), Revision: ge.Revision}},
+		Then: []state.Op{{Put: p.keys.Leader(), Value: oraw, Lease: hold}, {Put: p.keys.Generation(), Value: graw}},
 	}, state.Urgent)
 	if errors.Is(err, state.ErrUnknown) {
 		// Read back what became of it.
-		e, found, rerr := p.State.Get(ctx, GenerationKey, state.Urgent)
+		e, found, rerr := p.State.Get(ctx, p.keys.Generation(), state.Urgent)
 		var g generationRec
 		if rerr == nil && found && json.Unmarshal(e.Value, &g) == nil && g.Writer == writer {
 			epoch, err = ids.Epoch(e.Revision), nil
@@ -100,7 +100,8 @@
 	now := time.Now()
 	w := &p.Set.Params.Workers
 	trust := now.Add(p.Set.Grace().Drifted() + w.LeaseS.Drifted())
-	b := NewClusterState(p.Set, writer, gen, trust)
+	b := newShardState(p.Set, writer, gen, trust, p.shard)
+	b.elsewhere = p.statusElsewhere
 	fresh := time.Duration(p.Set.Own.PoolHoldMs) * time.Millisecond / 2
 	b.Storing = func() bool {
 		age, ok := p.State.SinceSuccess()
@@ -138,7 +139,10 @@
 		err := p.jobs.Sync(ctx)
 		jobs, epoch := p.jobs.All()
 		if err == nil {
-			t.Intents, _, err = p.State.ListAll(ctx, HirePrefix, state.Urgent)
+			t.Intents, _, err = p.State.ListAll(ctx, p.keys.Hires(), state.Urgent)
+		}
+		if err == nil && p.Set.Shards() > 1 {
+			err = p.loadAllowances(ctx, t)
 		}
 		if err != nil {
 			wait(ctx, 100*time.Millisecond)
@@ -147,10 +151,13 @@
 		recs, waits, stamps := map[ids.Job]*Record{}, map[ids.Job]*Record{}, map[ids.Job]ids.Revision{}
 		for _, e := range jobs {
 			into, decode := recs, Decode
-			switch id, kind := keyed(e.Key); kind {
-			case waitingRecord:
+			id, kind := keyed(e.Key)
+			switch {
+			case kind == waitingRecord:
 				into, decode = waits, DecodeWaiting
-			case storedCancellation:
+			case ids.ShardOf(id, p.Set.Shards()) != p.shard:
+				continue
+			case kind == storedCancellation:
 				t.Cluster.LearnCancellation(id, e.Revision, false)
 				continue
 			}
@@ -184,7 +191,7 @@
 
 // watchLeader notes whose generation it is and since when.
 func (p *Pool) watchLeader() {
-	e, found, ready := p.mirror.Get(GenerationKey)
+	e, found, ready := p.mirror.Get(p.keys.Generation())
 	var g generationRec
 	if !ready || !found || json.Unmarshal(e.Value, &g) != nil {
 		return
--- a/internal/claim/test_cluster_test.go
+++ b/internal/claim/test_cluster_test.go
@@ -159,7 +159,7 @@
 	w.mu.Lock()
 	w.nodes[name] = n
 	w.mu.Unlock()
-	go st.Watch(ctx, claim.GenerationKey)
+	go st.Watch(ctx, claim.KeysOf(0, 1).Generation())
 	go n.pool.Run(ctx)
 	return n
 }
@@ -214,6 +214,13 @@
 	return true
 }
 
+// Served tells that another node lives and can be reached.
+func (n *node) Served(other ids.Node) bool {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	return n.w.nodes[string(other)] != nil && !n.w.cutOff(n.name, string(other))
+}
+
 // NotifyLeader passes writes on: to its own pool at once, to the others as fast as the
 // network is.
 func (n *node) NotifyLeader(id ids.Job, stamp ids.Revision, rec *claim.Record, raw json.RawMessage) <-chan struct{} {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,7 +35,8 @@
 		Limits       Limits      `toml:"machine_limits"`
 	} `toml:"params"`
 
-	Own *Operator `toml:"-"`
+	Own      *Operator `toml:"-"`
+	Features *Features `toml:"-"`
 }
 
 // Other is one of the other controllers.
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -148,6 +148,9 @@
 	Zone  string   `json:"yard"`
 	Spot  bool     `json:"loaners"`
 	Count int      `json:"count"`
+	// Hosts are the machines rented, once that is known, where several shards have to tell
+	// whose they are.
+	Hosts []ids.Machine `json:"hosts,omitempty"`
 
 	tried bool // its name may be stored
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -35,9 +35,9 @@
 	}
 	for _, op := range ops {
 		if op.Put != "" {
-			s.names[strings.TrimPrefix(op.Put, claim.HirePrefix)] = true
+			s.names[strings.TrimPrefix(op.Put, claim.KeysOf(0, 1).Hires())] = true
 		} else {
-			delete(s.names, strings.TrimPrefix(op.Remove, claim.HirePrefix))
+			delete(s.names, strings.TrimPrefix(op.Remove, claim.KeysOf(0, 1).Hires()))
 		}
 	}
 	return nil
@@ -62,7 +62,7 @@
 	n.Listen("cloud:1", c)
 	b := claim.NewClusterState(set(), "w", 7, time.Now())
 	s := &shelf{names: map[string]bool{}}
-	return n, c, b, s, &Provisioner{Cloud: NewCloud("cloud:1", n.Client("a"), 50), Cluster: b, Store: s, Gen: 7, ListEvery: time.Second}
+	return n, c, b, s, &Provisioner{Cloud: NewCloud("cloud:1", n.Client("a"), 50), Cluster: b, Store: s, Keys: claim.KeysOf(0, 1), Gen: 7, ListEvery: time.Second}
 }
 
 func TestAHireIsStoredBeforeItIsSentAndNeverDoubled(t *testing.T) {
--- a/internal/fleet/listing.go
+++ b/internal/fleet/listing.go
@@ -33,7 +33,7 @@
 			slog.Debug("machine list not read", "after", p.list.after, "err", err)
 			return // goes on from here in the next step
 		}
-		p.Cluster.List(page, time.Now())
+		p.Cluster.List(p.own(page), time.Now())
 		if more {
 			p.list.after = page[len(page)-1].Name
 			continue
--- a/internal/fleet/provisioner.go
+++ b/internal/fleet/provisioner.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"log/slog"
 	"time"
 
@@ -38,6 +37,16 @@
 	// its hold could delete the machines on which its successor has placed work.
 	// So it is asked right before a deletion or hire is sent.
 	Sure func() bool
+	// Keys are where the shard's hires are stored.
+	Keys claim.ShardKeys
+	// Shard is told apart from others by its hires: where there are several, a hire stays
+	// stored with the names of its machines until the last of them is gone. Owns tells
+	// whether a listed machine is this shard's; nil: all are.
+	Shard ids.Shard
+	Owns  func(ids.Machine) bool
+	// OthersLack tells how long another shard has lacked machines, and how many a shard has
+	// on average; nil: there is no other.
+	OthersLack func() (lack time.Duration, part int)
 	// OnTypes is told the cloud's offer whenever it was read.
 	OnTypes func([]placement.Type)
 
@@ -45,6 +54,7 @@
 	open    []Intent // stored, not answered for sure yet
 	refused map[offer]time.Time
 	list    listing
+	kept    map[ids.Hire]Intent // hires stored with their machines
 	typed   time.Time
 	seq     int
 	emptied time.Time // when a machine to empty was last looked for
@@ -55,9 +65,15 @@
 func (p *Provisioner) Adopt(entries []state.Entry) {
 	for _, e := range entries {
 		var in Intent
-		if err := json.Unmarshal(e.Value, &in); err == nil && in.Name != "" {
+		if err := json.Unmarshal(e.Value, &in); err != nil || in.Name == "" {
+			continue
+		}
+		if in.Hosts == nil {
 			p.open = append(p.open, in)
+			continue
 		}
+		p.keep(in)
+		p.Cluster.Hired(in.Hosts, placement.Hire{Type: in.Type, Zone: in.Zone, Spot: in.Spot}, time.Now())
 	}
 }
 
@@ -106,11 +122,18 @@
 	}
 	// Decided only now: what an open hire has rented must count, or a lost
 	// answer would rent everything twice.
+	if p.OthersLack != nil {
+		lack, part := p.OthersLack()
+		p.Cluster.ShareRoom(lack, part, time.Now())
+	}
 	dark := p.Cluster.DarkZones()
 	ds, ups, types := p.Cluster.Needs(time.Now())
 	hires, needed := placement.Rent(ds, ups, types, func(label, zone string, spot bool) bool {
 		return !dark[zone] && !p.refused[offer{label, zone, spot}].After(now)
 	})
+	if p.OthersLack != nil {
+		p.Cluster.SetLacking(p.lacks(hires, now), now)
+	}
 	p.returns(ctx, needed)
 	if len(p.unsure) > 0 || len(p.open) > 0 || !p.list.complete {
 		return // what they rent is not known yet
@@ -161,6 +184,7 @@
 		}
 		for _, name := range names[:n] {
 			p.Cluster.MachineGone(name)
+			p.forget(ctx, name)
 		}
 		names = names[n:]
 	}
@@ -170,7 +194,7 @@
 // learn what it rented, and no name is ever used for two requests.
 func (p *Provisioner) hire(ctx context.Context, h placement.Hire) {
 	p.seq++
-	in := Intent{Name: ids.Hire(fmt.Sprintf("h-%d-%d", p.Gen, p.seq)), Type: h.Type, Zone: h.Zone, Spot: h.Spot, Count: min(h.Count, 50)}
+	in := Intent{Name: p.hireName(), Type: h.Type, Zone: h.Zone, Spot: h.Spot, Count: min(h.Count, 50)}
 	if p.storeIntent(ctx, in) {
 		p.send(ctx, in)
 	}
@@ -184,7 +208,7 @@
 	if err != nil {
 		return false
 	}
-	if err := p.Store.Apply(ctx, []state.Op{{Put: claim.HirePrefix + string(in.Name), Value: raw}}); err != nil {
+	if err := p.Store.Apply(ctx, []state.Op{{Put: p.Keys.Hires() + string(in.Name), Value: raw}}); err != nil {
 		slog.Debug("hire not stored", "hire", in.Name, "err", err)
 		var conflict *state.Conflict
 		if !errors.As(err, &conflict) && (errors.Is(err, state.ErrUnknown) || in.tried) {
@@ -200,6 +224,8 @@
 func (p *Provisioner) send(ctx context.Context, in Intent) {
 	names, err := p.Cloud.Hire(ctx, in, p.Sure)
 	switch {
+	case err == nil && p.Owns != nil && !p.storeHosts(ctx, in, names):
+		return // sent again, which rents nothing more
 	case err == nil:
 		slog.Info("hired", "hire", in.Name, "type", in.Type, "zone", in.Zone, "spot", in.Spot, "asked", in.Count, "got", len(names))
 		p.Cluster.Hired(names, placement.Hire{Type: in.Type, Zone: in.Zone, Spot: in.Spot}, time.Now())
@@ -214,8 +240,8 @@
 	default:
 		return // sent again under the same name
 	}
-	if err := p.Store.Apply(ctx, []state.Op{{Remove: claim.HirePrefix + string(in.Name)}}); err != nil {
-		slog.Debug("intent not removed", "hire", in.Name, "err", err)
+	if _, kept := p.kept[in.Name]; !kept {
+		p.removeHire(ctx, in.Name)
 	}
 	for i := range p.open {
 		if p.open[i].Name == in.Name {
--- a/internal/intake/awaits_reads_test.go
+++ b/internal/intake/awaits_reads_test.go
@@ -42,7 +42,7 @@
 				r.put("job-2", claim.Queued)
 				end := trouble(r)
 				for _, d := range r.services {
-					go d.State.Watch(t.Context(), claim.GenerationKey)
+					go d.State.Watch(t.Context(), claim.KeysOf(0, 1).Generation())
 				}
 				later(t, r.nodes["b"], awaits("job-10", []string{"job-404"}))
 				later(t, r.nodes["b"], awaits("job-11", []string{"job-1", "job-2"}))
--- a/internal/intake/forecast_test.go
+++ b/internal/intake/forecast_test.go
@@ -58,7 +58,7 @@
 	// last job only, or of the wrong cause: the longest way counts, without what is done.
 	synctest.Test(t, func(t *testing.T) {
 		r := newRegion(t)
-		go r.services["b"].State.Watch(t.Context(), claim.GenerationKey)
+		go r.services["b"].State.Watch(t.Context(), claim.KeysOf(0, 1).Generation())
 		r.submitAll(timed("job-1", 30, 0), timed("job-2", 50, 0), timed("job-3", 20, 0, "job-1", "job-2"),
 			timed("job-4", 10, 100.4, "job-3", "job-1"), timed("job-5", 5, 300.4, "job-4"))
 		const hangs = "; it hangs on job-2 first"
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -63,43 +63,44 @@
 // Learn takes in another controller's write.
 func (s *Service) Learn(w *Wrote, _ *Empty) error {
 	if len(w.Raw) == 0 {
-		s.link.pool.Learn(w.Job, w.Stamp, nil)
+		s.link.shards.Of(w.Job).Learn(w.Job, w.Stamp, nil)
 		return nil
 	}
 	rec, err := claim.Decode(json.RawMessage(w.Raw))
 	if err != nil {
 		return err
 	}
-	s.link.pool.Learn(w.Job, w.Stamp, rec)
+	s.link.shards.Of(w.Job).Learn(w.Job, w.Stamp, rec)
 	return nil
 }
 
 // Explain answers why a job's tasks wait, if this node owns the pool.
 func (s *Service) Explain(a *Asked, out *Lines) error {
-	lines, err := s.link.pool.Explain(a.Job)
+	lines, err := s.link.shards.Of(a.Job).Explain(a.Job)
 	out.Lines = lines
 	return err
 }
 
 // Stopped confirms that no heartbeats are answered under older generations.
 func (s *Service) Stopped(t *Took, out *Confirmed) error {
-	out.Stopped = s.link.pool.Superseded(t.Generation)
+	out.Stopped = s.link.shards.Pools()[0].Superseded(t.Generation)
 	return nil
 }
 
 // Greet exchanges how the nodes fare.
 func (s *Service) Greet(h *Hello, out *Hello) error {
-	s.link.note(h)
-	*out = s.link.hello(&h.Have)
+	s.link.note(&ShardsHello{Hello: *h, Shards: []ShardHello{h.shard()}})
+	answer := s.link.hello([]claim.HintMark{h.Have})
+	*out = answer.Hello
 	out.Lent = s.link.state.Budget().Lend(h.Want)
 	return nil
 }
 
 // Link is this node's connections to the others.
 type Link struct {
-	set   *config.Settings
-	pool  *claim.Pool
-	state *state.Client
+	set    *config.Settings
+	shards *claim.Shards
+	state  *state.Client
 	// Dial connects to another node.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
@@ -117,12 +118,12 @@
 }
 
 // NewLink makes the link; it serves once Serve is called.
-func NewLink(set *config.Settings, pool *claim.Pool, st *state.Client) *Link {
+func NewLink(set *config.Settings, shards *claim.Shards, st *state.Client) *Link {
 	dial := func(ctx context.Context, addr string) (net.Conn, error) {
 		d := net.Dialer{Timeout: callTimeout}
 		return d.DialContext(ctx, "tcp", addr)
 	}
-	l := &Link{set: set, pool: pool, state: st, Dial: dial, conns: map[ids.Node]*rpc.Client{}, seen: map[ids.Node]seen{}}
+	l := &Link{set: set, shards: shards, state: st, Dial: dial, conns: map[ids.Node]*rpc.Client{}, seen: map[ids.Node]seen{}}
 	if st != nil {
 		st.Budget().SetTransfers(l.requestTransfer)
 	}
@@ -229,40 +230,17 @@
 	return err
 }
 
-// AllStopped asks the controllers named, or else every other, at the same time
-// whether they have stopped answering: one that hangs costs a timeout, and there
-// may be several.
-func (l *Link) AllStopped(ctx context.Context, gen ids.Generation, of ...ids.Node) bool {
-	if len(of) == 0 {
-		for _, o := range l.set.Others {
-			of = append(of, o.HostName)
-		}
-	}
-	stopped := make(chan bool, len(of))
-	for _, node := range of {
-		go func() {
-			var out Confirmed
-			err := l.call(ctx, node, "Stopped", &Took{gen}, &out)
-			stopped <- err == nil && out.Stopped
-		}()
-	}
-	all := true
-	for range of {
-		all = <-stopped && all
-	}
-	return all
-}
-
 // NotifyLeader passes a write on to the leader, wherever it is; the channel closes once
 // it knows, or can't be told.
 func (l *Link) NotifyLeader(id ids.Job, stamp ids.Revision, rec *claim.Record, raw json.RawMessage) <-chan struct{} {
 	done := make(chan struct{})
-	if l.pool.Cluster() != nil {
-		l.pool.Learn(id, stamp, rec)
+	pool := l.shards.Of(id)
+	if pool.Cluster() != nil {
+		pool.Learn(id, stamp, rec)
 		close(done)
 		return done
 	}
-	leader, ok := l.pool.Leader()
+	leader, ok := pool.Leader()
 	if !ok {
 		close(done)
 		return done
@@ -278,10 +256,11 @@
 
 // Explain asks the leader why a job's tasks wait.
 func (l *Link) Explain(ctx context.Context, id ids.Job) ([]string, ids.Node, error) {
-	if lines, err := l.pool.Explain(id); err == nil {
+	pool := l.shards.Of(id)
+	if lines, err := pool.Explain(id); err == nil {
 		return lines, l.set.HostName, nil
 	}
-	leader, ok := l.pool.Leader()
+	leader, ok := pool.Leader()
 	if !ok {
 		return nil, "", errors.New("no controller owns the machine pool now, as far as this one knows: nothing starts until one does")
 	}
@@ -292,39 +271,13 @@
 	return out.Lines, leader, nil
 }
 
-// hello tells how this node fares; to a node that said how far in the hints it
-// is, the leader tells what came since.
-func (l *Link) hello(to *claim.HintMark) Hello {
-	age, ok := l.state.SinceSuccess()
-	h := Hello{Node: l.set.HostName, StateOK: ok && age < 3*time.Second}
-	if b := l.pool.Cluster(); b != nil {
-		h.Owner = true
-		if to != nil {
-			h.Hints, h.Have = b.Hints(*to)
-		}
-	} else {
-		h.Stranded, h.Have = l.pool.Stranded(), l.pool.Heard()
-	}
-	return h
-}
-
-func (l *Link) note(h *Hello) {
-	l.mu.Lock()
-	l.seen[h.Node] = seen{time.Now(), h.StateOK}
-	l.mu.Unlock()
-	// Giving up to a node that is not served itself would help nobody.
-	if h.StateOK {
-		l.pool.Reconsider(h.Stranded)
-	}
-}
-
 // OthersServed tells whether some other controller has lately been served by
 // the state service.
 func (l *Link) OthersServed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range l.seen {
-		if s.stateOK && time.Since(s.at) < 3*time.Second {
+		if s.stateOK && time.Since(s.at) < heardWithin {
 			return true
 		}
 	}
@@ -337,7 +290,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range l.seen {
-		if time.Since(s.at) < 3*time.Second {
+		if time.Since(s.at) < heardWithin {
 			return false
 		}
 	}
@@ -360,17 +313,7 @@
 	for _, o := range l.set.Others {
 		go func() {
 			for ctx.Err() == nil {
-				h := l.hello(nil)
-				h.Want = l.wants()
-				sent := time.Now()
-				var out Hello
-				if err := l.call(ctx, o.HostName, "Greet", &h, &out); err == nil {
-					l.note(&out)
-					l.state.Budget().Borrowed(out.Lent, sent)
-					if out.Owner {
-						l.pool.Hear(out.Hints, out.Have)
-					}
-				}
+				l.greet(ctx, o.HostName)
 				select {
 				case <-ctx.Done():
 				case <-time.After(time.Second):
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -29,15 +29,15 @@
 	set.Params.Limits.MaxSockets = 100
 	st := state.NewClient("state:1", n.Client(string(name)), state.NewBudget(500, 200, 2, 0.6))
 	pool := claim.NewPool(set, st, &worker.Commander{HTTP: n.Client(string(name)), Timeout: time.Second}, string(name)+".1")
-	l := NewLink(set, pool, st)
+	l := NewLink(set, claim.SingleShard(pool), st)
 	l.Dial = p.Dial
-	pool.Peers = l
+	pool.Peers = l.ForShard(0)
 	go l.Serve(p.Listen(string(name)))
 	l.Run(ctx)
 	go pool.Run(ctx)
 	go func() {
 		for ctx.Err() == nil {
-			st.Get(ctx, claim.GenerationKey, state.Urgent)
+			st.Get(ctx, claim.KeysOf(0, 1).Generation(), state.Urgent)
 			time.Sleep(500 * time.Millisecond)
 		}
 	}()
@@ -54,15 +54,15 @@
 		if a.Cluster() == nil {
 			t.Fatal("a does not own the pool")
 		}
-		if la.AllStopped(ctx, 1) {
+		if la.ForShard(0).AllStopped(ctx, 1) {
 			t.Error("a node that does not answer confirmed that it stopped")
 		}
 		b, lb := node(ctx, "b", "a", n, p)
 		time.Sleep(3 * time.Second)
-		if !la.AllStopped(ctx, 1) {
+		if !la.ForShard(0).AllStopped(ctx, 1) {
 			t.Error("a node that never owned the pool does not confirm")
 		}
-		if lb.AllStopped(ctx, 1) {
+		if lb.ForShard(0).AllStopped(ctx, 1) {
 			t.Error("the owner confirmed that it stopped")
 		}
 		if !la.OthersServed() || !lb.OthersServed() {
@@ -106,7 +106,7 @@
 			return nil, errors.New("no answer")
 		}
 		began := time.Now()
-		if l.AllStopped(ctx, 7) {
+		if l.ForShard(0).AllStopped(ctx, 7) {
 			t.Error("nobody answered, and yet all have stopped")
 		}
 		if d := time.Since(began); dials.Load() != 4 || d > callTimeout {
--- a/internal/peer/transfer.go
+++ b/internal/peer/transfer.go
@@ -46,5 +46,5 @@
 func (l *Link) heard(node ids.Node) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Since(l.seen[node].at) < 3*time.Second
+	return time.Since(l.seen[node].at) < heardWithin
 }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -8,8 +8,8 @@
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 )
 
-// Shard numbers a part of the machine pool that has a leader of its own.
-type Shard int
+// Shard is the shard of the machine pool that an account belongs to.
+type Shard = ids.Shard
 
 // Account is what a ledger holds for one shard.
 type Account struct {
--- a/internal/rehearsal/cluster.go
+++ b/internal/rehearsal/cluster.go
@@ -30,14 +30,16 @@
 
 	folder  string
 	program string
-	teams   []Team
-	began   time.Time
-	network *fake.Net // keeps the results of tasks
-	cloud   *cloud
-	http    *http.Client
-	servers []*http.Server
-	life    context.Context
-	end     context.CancelFunc
+	// features is the file of features; empty: none.
+	features string
+	teams    []Team
+	began    time.Time
+	network  *fake.Net // keeps the results of tasks
+	cloud    *cloud
+	http     *http.Client
+	servers  []*http.Server
+	life     context.Context
+	end      context.CancelFunc
 
 	mu          sync.Mutex
 	controllers []*Controller
@@ -71,7 +73,7 @@
 }
 
 // NewCluster starts the stand-ins; controllers are started one by one.
-func NewCluster(folder, program string, teams []Team, controllers, machines int) (*Cluster, error) {
+func NewCluster(folder, program string, teams []Team, controllers, machines, shards int) (*Cluster, error) {
 	life, end := context.WithCancel(context.Background())
 	c := &Cluster{Store: fake.NewStore(), folder: folder, program: program, teams: teams, began: time.Now(), network: fake.NewNet(),
 		cloud: newCloud(machines), life: life, end: end, workers: map[string]*runningWorker{}, tasks: map[string]taskPlan{},
@@ -88,6 +90,12 @@
 	if err := c.prepare(controllers, state, cloud); err != nil {
 		return nil, errors.Join(err, c.Close())
 	}
+	if shards > 1 { // earlier versions do not know features
+		c.features = filepath.Join(folder, "features.textproto")
+		if err := os.WriteFile(c.features, fmt.Appendf(nil, "shards: %d\n", shards), 0o600); err != nil {
+			return nil, errors.Join(err, c.Close())
+		}
+	}
 	return c, nil
 }
 
@@ -171,7 +179,11 @@
 		return err
 	}
 	defer log.Close()
-	process := exec.Command(c.program, "--config", controller.settings)
+	arguments := []string{"--config", controller.settings}
+	if c.features != "" {
+		arguments = append(arguments, "--features", c.features)
+	}
+	process := exec.Command(c.program, arguments...)
 	process.Stderr, process.Stdout = log, log
 	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := process.Start(); err != nil {
--- a/internal/rehearsal/quota.go
+++ b/internal/rehearsal/quota.go
@@ -18,6 +18,7 @@
 	Seed        uint64
 	Controllers int
 	Machines    int
+	Shards      int           // of the machine pool, each with a leader
 	Jobs        int           // submitted at the same moment, twice
 	Within      time.Duration // how soon a guarantee has to be reached
 	Longest     time.Duration // the run ends by then, whatever happens
@@ -33,6 +34,8 @@
 	// GuaranteeWaits are how long the guaranteed team's jobs waited for their first start.
 	GuaranteeWaits []time.Duration
 	Within         time.Duration
+	// Doubled are tasks that ran on two machines at a time.
+	Doubled []string
 	// Unserved are accepted jobs of which no task has started.
 	Unserved []string
 	// Jobs, Accepted, Refusals and Starts count submissions, acceptances, refusals and starts.
@@ -44,7 +47,7 @@
 
 // Failed tells whether anything went wrong that must not.
 func (f *Findings) Failed() bool {
-	return len(f.Breaches) > 0 || len(f.Unserved) > 0 || f.Midway != "" || f.slowestGuarantee() > f.Within || f.Starts == 0
+	return len(f.Breaches) > 0 || len(f.Doubled) > 0 || len(f.Unserved) > 0 || f.Midway != "" || f.slowestGuarantee() > f.Within || f.Starts == 0
 }
 
 func (f *Findings) slowestGuarantee() time.Duration {
@@ -72,7 +75,7 @@
 // record and a report, also of a run that fails midway.
 func RunQuota(options QuotaOptions) (*Findings, error) {
 	teams := quotaTeams()
-	cluster, err := NewCluster(options.Folder, options.Program, teams, options.Controllers, options.Machines)
+	cluster, err := NewCluster(options.Folder, options.Program, teams, options.Controllers, options.Machines, options.Shards)
 	if err != nil {
 		return nil, err
 	}
@@ -101,6 +104,7 @@
 // count works out from the record what there is to find.
 func (f *Findings) count() {
 	f.Samples, f.Breaches = Usage(f.Events, f.Teams)
+	f.Doubled = Doubled(f.Events)
 	for _, event := range f.Events {
 		switch event.Kind {
 		case Accepted:
--- a/internal/rehearsal/report.go
+++ b/internal/rehearsal/report.go
@@ -105,6 +105,7 @@
 <tr><th>What</th><th>Outcome</th></tr>
 <tr><td>Moments at which a team used more than its limit</td><td>{{len .Breaches}}</td></tr>
 <tr><td>Moments looked at: each start and end of a task, as the machines saw it</td><td>{{len .Events}} entries, {{.Starts}} starts</td></tr>
+<tr><td>Tasks that ran on two machines at a time</td><td>{{len .Doubled}}</td></tr>
 <tr><td>Jobs accepted</td><td>{{.Accepted}}</td></tr>
 <tr><td>Accepted jobs that never started</td><td>{{len .Unserved}}</td></tr>
 <tr><td>Longest wait of a job within its team's guarantee, refusals included</td><td>{{seconds .Slowest}}, of at most {{seconds .Within}}</td></tr>
--- a/internal/rehearsal/usage.go
+++ b/internal/rehearsal/usage.go
@@ -62,6 +62,25 @@
 	return samples, breaches
 }
 
+// Doubled lists the tasks that were started on one machine while they were on another.
+func Doubled(events []Event) (tasks []string) {
+	running := map[string]string{}
+	for _, event := range events {
+		switch event.Kind {
+		case TaskStarted:
+			if where, there := running[event.Task]; there && where != event.Where {
+				tasks = append(tasks, event.Task)
+			}
+			running[event.Task] = event.Where
+		case TaskEnded:
+			if running[event.Task] == event.Where {
+				delete(running, event.Task)
+			}
+		}
+	}
+	return tasks
+}
+
 // dust is what rounding of decimal numbers may leave behind.
 const dust = 1e-6
 
--- a/internal/state/budget.go
+++ b/internal/state/budget.go
@@ -47,6 +47,8 @@
 	users    bucket
 	pool     bucket
 	leads    bool
+	leading  int // shards that this node leads
+	shards   int // of the pool
 	loans    []loan
 	throttle throttle
 	// throttled tells that the rates are not back at their full size yet.
@@ -109,11 +111,40 @@
 
 func burst(perSecond float64) int { return max(4, int(perSecond)) }
 
-// SetLeader tells whether this node owns the pool.
+// SplitLeaderShare tells into how many shards the pool is split: each that this node leads
+// brings its part of the leader's share.
+func (b *Budget) SplitLeaderShare(shards int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.shards = shards
+	b.sizePool()
+}
+
+// SetLeader tells that this node leads one shard more, or one less.
 func (b *Budget) SetLeader(leads bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.leads = leads
+	if leads {
+		b.leading++
+	} else {
+		b.leading = max(0, b.leading-1)
+	}
+	b.leads = b.leading > 0
+	b.sizePool()
+}
+
+// sizePool makes the leader's bucket as large as the shards that this node leads allow.
+func (b *Budget) sizePool() {
+	if b.shards <= 1 {
+		return
+	}
+	part := float64(max(1, b.leading)) / float64(b.shards)
+	now := time.Now()
+	b.pool.base, b.pool.baseCalls = b.wps*b.own.writes*part, b.rps*b.own.calls*part
+	b.pool.writes.SetLimitAt(now, rate.Limit(b.pool.base))
+	b.pool.writes.SetBurstAt(now, burst(b.pool.base))
+	b.pool.calls.SetLimitAt(now, rate.Limit(b.pool.baseCalls))
+	b.pool.calls.SetBurstAt(now, burst(b.pool.baseCalls))
 }
 
 // WriteBurst is the most changes one transaction may carry now.
