--- a/internal/claim/ownership.go
+++ b/internal/claim/ownership.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -134,10 +133,3 @@
 		}
 	}
 }
-
-// hosts lists the machines that a stored hire names.
-func (o *ownership) hosts(key string) []ids.Machine {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return slices.Clone(o.hires[key].Hosts)
-}
--- /dev/null
+++ b/internal/claim/shards_test.go
@@ -0,0 +1,393 @@
+package claim_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/claim"
+	"github.com/pebbletrail/pebbletrail/internal/config"
+	"github.com/pebbletrail/pebbletrail/internal/fake"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/intake"
+	"github.com/pebbletrail/pebbletrail/internal/state"
+	"github.com/pebbletrail/pebbletrail/internal/worker"
+)
+
+// shardNodes are the controllers of scenarios with several shards.
+var shardNodes = []string{"a", "b", "c", "d", "e"}
+
+// shardNode is a controller in a cluster of several shards.
+type shardNode struct {
+	w       *testCluster
+	name    string
+	shards  *claim.Shards
+	cancel  context.CancelFunc
+	refused error
+}
+
+// shardCluster is controllers that lead three shards of the machines of a testCluster.
+type shardCluster struct {
+	*testCluster
+	count int
+	up    map[string]*shardNode
+}
+
+// shardScenario runs f in a cluster of three shards, with as many machines in each as named.
+func shardScenario(t *testing.T, machines int, f func(t *testing.T, c *shardCluster)) {
+	scenario(t, func(t *testing.T, w *testCluster) {
+		c := &shardCluster{testCluster: w, count: 3, up: map[string]*shardNode{}}
+		for shard := range c.count {
+			var hosts []string
+			for i := range machines {
+				hosts = append(hosts, fmt.Sprintf("m%d-%d", shard, i))
+			}
+			c.put(claim.KeysOf(ids.Shard(shard), c.count).Hires()+"first", map[string]any{"hire": "first", "hosts": hosts})
+		}
+		for _, name := range shardNodes {
+			c.startNode(name)
+		}
+		for shard := range c.count {
+			for i := range machines {
+				k := c.worker(fmt.Sprintf("m%d-%d", shard, i), []string{"north", "south"}[i%2])
+				k.Names, k.Nodes = shardNodes, nil
+				for _, name := range shardNodes {
+					k.Nodes = append(k.Nodes, name+":8080")
+				}
+			}
+		}
+		f(t, c)
+	})
+}
+
+// put writes a key past all faults.
+func (c *shardCluster) put(key string, value any) {
+	raw, _ := json.Marshal(value)
+	client := state.NewClient("state:1", c.net.Client("test"), state.NewBudget(1000, 1000, 1, 0.5))
+	if _, err := client.Commit(c.ctx, state.Txn{Then: []state.Op{{Put: key, Value: raw}}}, state.Urgent); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// shardSettings are a node's settings.
+func (c *shardCluster) shardSettings(name string) *config.Settings {
+	set := c.settings("a")
+	set.HostName, set.Others = ids.Node(name), nil
+	for _, other := range shardNodes {
+		if other != name {
+			set.Others = append(set.Others, config.Other{HostName: ids.Node(other)})
+		}
+	}
+	set.Features = &config.Features{Shards: uint32(c.count)}
+	return set
+}
+
+func (c *shardCluster) startNode(name string) *shardNode {
+	set := c.shardSettings(name)
+	c.lives++
+	writer := fmt.Sprintf("%s.%d", name, c.lives)
+	ctx, cancel := context.WithCancel(c.ctx)
+	st := state.NewClient("state:1", c.net.Client(name), state.NewBudget(800, 400, 5, 0.6))
+	st.Budget().SplitLeaderShare(c.count)
+	n := &shardNode{w: c.testCluster, name: name, cancel: cancel,
+		shards: claim.NewShards(set, st, &worker.Commander{HTTP: c.net.Client(name), Timeout: 3 * time.Second}, writer)}
+	n.shards.Refuse = func(err error) { n.refused = err }
+	for _, pool := range n.shards.Pools() {
+		pool.Peers = shardPeers{cluster: c}
+		pool.OnTerm = func(_ context.Context, t *claim.Term) { t.Cluster.SetTypes(types()) }
+	}
+	jobs := &intake.JobService{Set: set, State: st, Jobs: n.shards.Jobs(), LeaderNotifier: shardPeers{cluster: c}, Writer: writer, Types: types}
+	c.net.Listen(name+":8080", (&intake.Site{Jobs: jobs, Heartbeats: n.shards, Ready: func() bool { return true },
+		Live:   func(context.Context, ids.Job) ([]string, ids.Node, error) { return nil, "", nil },
+		Status: func() any { return nil }}).Handler())
+	c.mu.Lock()
+	c.up[name] = n
+	c.mu.Unlock()
+	go st.Watch(ctx, claim.KeysOf(0, c.count).Generation())
+	go n.shards.Run(ctx)
+	return n
+}
+
+// end ends a node like a lost process.
+func (c *shardCluster) end(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.up[name].cancel()
+	delete(c.up, name)
+	c.net.Listen(name+":8080", nil)
+}
+
+// leaders names who leads each shard; empty where nobody does.
+func (c *shardCluster) leaders() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	names := make([]string, c.count)
+	for name, n := range c.up {
+		for shard, pool := range n.shards.Pools() {
+			if pool.Term() != nil {
+				names[shard] = name
+			}
+		}
+	}
+	return names
+}
+
+// shardPeers are the other controllers, which tell one another only that they are up: the rest
+// saves time.
+type shardPeers struct{ cluster *shardCluster }
+
+func (shardPeers) AllStopped(context.Context, ids.Generation, ...ids.Node) bool { return false }
+func (shardPeers) Alone() bool                                                  { return false }
+func (p shardPeers) Served(node ids.Node) bool {
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	return p.cluster.up[string(node)] != nil
+}
+func (shardPeers) NotifyLeader(ids.Job, ids.Revision, *claim.Record, json.RawMessage) <-chan struct{} {
+	done := make(chan struct{})
+	close(done)
+	return done
+}
+
+// accept submits a job, at another node each time it is told to come back.
+func (c *shardCluster) accept(node int, s map[string]any) {
+	c.t.Helper()
+	for try := range 60 {
+		if code, _ := c.call(shardNodes[(node+try)%len(shardNodes)], "POST", "/v2/runs", s); code == 201 || code == 200 {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+	c.t.Fatalf("%v was never accepted", s["uid"])
+}
+
+// endTasks lets whatever runs for a while end by itself, until the scenario ends.
+func (c *shardCluster) endTasks(rng *rand.Rand) {
+	for c.ctx.Err() == nil {
+		select {
+		case <-time.After(time.Second):
+		case <-c.ctx.Done():
+			return
+		}
+		for _, k := range c.workers {
+			for _, task := range k.Live() {
+				if rng.IntN(3) == 0 {
+					k.End(task, "done")
+				}
+			}
+		}
+	}
+}
+
+func TestLimitsHoldOverThreeLeadersThatFail(t *testing.T) {
+	t.Parallel()
+	// Five controllers lead three shards; each has room for twice its team's limit. Jobs come
+	// at all nodes at the same moment, some are cancelled; leaders die, are refused by the
+	// state service, lose answers, and all of them end once. The rules are checked at each
+	// start, quota among them.
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			shardScenario(t, 4, func(t *testing.T, c *shardCluster) {
+				rng := rand.New(rand.NewPCG(seed, 9))
+				go c.endTasks(rand.New(rand.NewPCG(seed, 10)))
+				time.Sleep(5 * time.Second)
+				if led := c.leaders(); slices.Contains(led, "") {
+					t.Fatalf("led by %q", led)
+				}
+				const jobs = 24
+				for i := range jobs {
+					id := fmt.Sprint("job-", i)
+					s := spec(id, "array", 1+rng.IntN(4))
+					if i%6 == 0 {
+						s["shape"], s["pieces"] = "gang", 3
+					}
+					c.accept(i, s)
+				}
+				cancelled := map[string]bool{}
+				for i := range 6 {
+					time.Sleep(time.Duration(2+rng.IntN(6)) * time.Second)
+					victim := c.leaders()[rng.IntN(c.count)]
+					switch {
+					case victim == "":
+					case i%3 == 0:
+						c.end(victim)
+						time.Sleep(3 * time.Second)
+						c.startNode(victim)
+					case i%3 == 1:
+						c.store.Refuse(victim, true)
+						time.Sleep(8 * time.Second)
+						c.store.Refuse(victim, false)
+					default:
+						c.net.SetRule(func(from, _ string, r *http.Request, _ []byte) fake.Fate {
+							if from == victim && r.URL.Path == "/commit" {
+								return fake.LoseAnswer
+							}
+							return fake.Deliver
+						})
+						time.Sleep(4 * time.Second)
+						c.net.SetRule(nil)
+					}
+					id := fmt.Sprint("job-", rng.IntN(jobs))
+					if code, out := c.call(shardNodes[rng.IntN(5)], "POST", "/v2/runs/"+id+"/cancel", nil); code == 200 {
+						cancelled[id] = out["status"] == "cancelled"
+					}
+					c.never()
+				}
+				for _, name := range shardNodes {
+					c.end(name)
+				}
+				time.Sleep(2 * time.Second)
+				for _, name := range shardNodes {
+					c.startNode(name)
+				}
+				c.until(5*time.Minute, "every job is over, at every node", func() bool {
+					for i := range jobs {
+						id := fmt.Sprint("job-", i)
+						want := "done"
+						if cancelled[id] {
+							want = "cancelled"
+						}
+						if c.status(shardNodes[i%5], id) != want {
+							return false
+						}
+					}
+					return true
+				})
+			})
+		})
+	}
+}
+
+func TestJobsAwaitJobsOfOtherShards(t *testing.T) {
+	t.Parallel()
+	// Each job awaits the one before it, wherever that is; then one in the middle of a second
+	// chain is cancelled, and what follows it ends with it.
+	shardScenario(t, 2, func(t *testing.T, c *shardCluster) {
+		time.Sleep(5 * time.Second)
+		chain := func(first int) (names []string) {
+			for i := range 6 {
+				s := spec(fmt.Sprint("job-", first+i), "array", 1)
+				if i > 0 {
+					s["awaits"] = []string{names[i-1]}
+				}
+				names = append(names, s["uid"].(string))
+				c.accept(i, s)
+			}
+			return names
+		}
+		shards := map[ids.Shard]bool{}
+		for _, id := range chain(100) {
+			shards[ids.ShardOf(ids.Job(id), c.count)] = true
+			c.until(20*time.Second, id+" runs", func() bool { return len(c.on(id+"/0")) == 1 })
+			c.worn(c.on(id + "/0")[0]).End(id+"/0", "done")
+		}
+		if len(shards) != c.count {
+			t.Fatalf("the chain lies in %d shards", len(shards))
+		}
+		second := chain(200)
+		c.until(20*time.Second, "the first runs", func() bool { return len(c.on(second[0]+"/0")) == 1 })
+		c.until(10*time.Second, "the cancellation is confirmed", func() bool {
+			code, _ := c.call("b", "POST", "/v2/runs/"+second[2]+"/cancel", nil)
+			return code == 200
+		})
+		c.worn(c.on(second[0] + "/0")[0]).End(second[0]+"/0", "done")
+		c.until(20*time.Second, "what does not need the cancelled one goes on", func() bool { return len(c.on(second[1]+"/0")) == 1 })
+		for _, id := range second[2:] {
+			c.until(10*time.Second, id+" is told as cancelled", func() bool { return c.status("d", id) == "cancelled" })
+		}
+		c.until(30*time.Second, "their ends are stored", func() bool { return c.store.Count("job/wait/") == 0 })
+	})
+}
+
+func TestAMachineThatNobodyHiredBelongsToOneShardAndNoSooner(t *testing.T) {
+	t.Parallel()
+	// Guards against a machine that two leaders command: one whose hire is not answered yet,
+	// and that reports already, belongs to whom the answer will name.
+	shardScenario(t, 1, func(t *testing.T, c *shardCluster) {
+		time.Sleep(5 * time.Second)
+		key := claim.KeysOf(2, c.count).Hires() + "h-s2-1-1"
+		c.put(key, map[string]any{"hire": "h-s2-1-1", "count": 1})
+		for _, name := range []string{"hired", "stranger"} {
+			k := c.worker(name, "north")
+			k.Names, k.Nodes = shardNodes, []string{"a:8080", "b:8080", "c:8080", "d:8080", "e:8080"}
+		}
+		owners := func(machine ids.Machine) (all []int) {
+			for _, n := range c.up {
+				for shard := range c.count {
+					if n.shards.Owns(ids.Shard(shard), machine) && !slices.Contains(all, shard) {
+						all = append(all, shard)
+					}
+				}
+			}
+			return all
+		}
+		time.Sleep(5 * time.Second)
+		if hired, stranger := owners("hired"), owners("stranger"); len(hired)+len(stranger) > 0 {
+			t.Fatalf("while a hire is open its machine belongs to %v, a stranger to %v", hired, stranger)
+		}
+		c.put(key, map[string]any{"hire": "h-s2-1-1", "count": 1, "hosts": []string{"hired"}})
+		time.Sleep(5 * time.Second)
+		if hired, stranger := owners("hired"), owners("stranger"); !slices.Equal(hired, []int{2}) || !slices.Equal(stranger, []int{0}) {
+			t.Errorf("the hired machine belongs to %v, the stranger to %v", hired, stranger)
+		}
+	})
+}
+
+func TestLeadersSpreadAndAShardIsGivenBack(t *testing.T) {
+	t.Parallel()
+	shardScenario(t, 1, func(t *testing.T, c *shardCluster) {
+		spread := func() bool {
+			led := c.leaders()
+			return !slices.Contains(led, "") && led[0] != led[1] && led[1] != led[2] && led[0] != led[2]
+		}
+		c.until(time.Minute, "each of three controllers leads a shard", spread)
+		for _, name := range []string{"a", "b", "d", "e"} {
+			c.end(name)
+		}
+		c.until(time.Minute, "the one left leads all", func() bool { return slices.Equal(c.leaders(), []string{"c", "c", "c"}) })
+		for _, name := range []string{"a", "b", "d", "e"} {
+			c.startNode(name)
+		}
+		c.until(2*time.Minute, "shards are given back", spread)
+	})
+}
+
+func TestAStoreOfAnotherLayoutIsRefused(t *testing.T) {
+	t.Parallel()
+	shardScenario(t, 1, func(t *testing.T, c *shardCluster) {
+		time.Sleep(5 * time.Second)
+		// A version that knows one shard only never leads here.
+		old := c.start("a")
+		time.Sleep(20 * time.Second)
+		if old.pool.Term() != nil {
+			t.Error("a controller of one shard leads the pool beside the leaders of three")
+		}
+		c.count = 2
+		n := c.startNode("e")
+		time.Sleep(2 * time.Second)
+		if !errors.Is(n.refused, claim.ErrOtherLayout) || !strings.Contains(n.refused.Error(), "3, not 2") {
+			t.Errorf("two shards on a store of three: %v", n.refused)
+		}
+		c.count = 3
+	})
+	scenario(t, func(t *testing.T, w *testCluster) {
+		w.start("a")
+		w.worker("m1", "north")
+		time.Sleep(8 * time.Second)
+		w.submit("a", spec("job-1", "array", 1))
+		c := &shardCluster{testCluster: w, count: 3, up: map[string]*shardNode{}}
+		n := c.startNode("e")
+		time.Sleep(2 * time.Second)
+		if !errors.Is(n.refused, claim.ErrJobsStored) {
+			t.Errorf("three shards on a store with a job of one: %v", n.refused)
+		}
+	})
+}
