--- a/cmd/pebbletrail/rehearse.go
+++ b/cmd/pebbletrail/rehearse.go
@@ -40,6 +40,7 @@
 				found.Jobs, found.Accepted, found.Refusals, found.Starts, found.Changes, found.Took.Round(time.Second))
 			fmt.Fprintf(out, "breaches of a limit: %d; tasks doubled: %d; accepted jobs never started: %d; waits within the guarantee: %v\n",
 				len(found.Breaches), len(found.Doubled), len(found.Unserved), found.GuaranteeWaits)
+			fmt.Fprintf(out, "transfers of allowance: %d\n", found.Transfers)
 			for _, breach := range found.Breaches {
 				fmt.Fprintln(out, breach)
 			}
--- a/cmd/pebbletrail/serve.go
+++ b/cmd/pebbletrail/serve.go
@@ -110,7 +110,7 @@
 
 // refuse ends the process: with this store it must not take part.
 func refuse(err error) {
-	fmt.Fprintln(os.Stderr, "pebbletrail: "+err.Error())
+	fmt.Fprintln(os.Stderr, "pebbletrail: "+strings.ReplaceAll(err.Error(), "\n", "; "))
 	os.Exit(1)
 }
 
--- a/internal/claim/layout.go
+++ b/internal/claim/layout.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/quota"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -39,7 +40,7 @@
 		if err == nil {
 			return true
 		}
-		if errors.Is(err, ErrOtherLayout) || errors.Is(err, ErrJobsStored) {
+		if errors.Is(err, ErrOtherLayout) || errors.Is(err, ErrJobsStored) || errors.Is(err, quota.ErrBadLedger) {
 			s.Refuse(err)
 			return false
 		}
@@ -64,7 +65,7 @@
 	case err != nil:
 		return err
 	case found:
-		return s.sameLayout(entry.Value)
+		return errors.Join(s.sameLayout(entry.Value), s.checkLedgers(ctx))
 	case len(jobs) > 0 || led:
 		// The machines of the pool as one shard would be nobody's.
 		return ErrJobsStored
@@ -78,6 +79,16 @@
 	return err // whatever it was, the next try reads what is stored
 }
 
+// checkLedgers refuses to begin with ledgers that can't be used. One that breaks later only
+// stops its team.
+func (s *Shards) checkLedgers(ctx context.Context) error {
+	entries, _, err := s.state.ListAll(ctx, quota.Prefix, state.Urgent)
+	if err != nil {
+		return err
+	}
+	return quota.CheckStored(entries, len(s.pools))
+}
+
 func (s *Shards) sameLayout(raw json.RawMessage) error {
 	var stored layout
 	if err := json.Unmarshal(raw, &stored); err != nil {
--- a/internal/claim/shards_test.go
+++ b/internal/claim/shards_test.go
@@ -17,6 +17,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/fake"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/intake"
+	"github.com/pebbletrail/pebbletrail/internal/quota"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
@@ -377,6 +378,13 @@
 			t.Errorf("two shards on a store of three: %v", n.refused)
 		}
 		c.count = 3
+		c.end("d")
+		c.put(quota.LedgerKey("red"), map[string]any{"form": 9})
+		n = c.startNode("d")
+		time.Sleep(2 * time.Second)
+		if !errors.Is(n.refused, quota.ErrBadLedger) || !strings.Contains(n.refused.Error(), "newer form") {
+			t.Errorf("a ledger of a newer version: %v", n.refused)
+		}
 	})
 	scenario(t, func(t *testing.T, w *testCluster) {
 		w.start("a")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -116,3 +116,30 @@
 		t.Errorf("%v: %v", err, o)
 	}
 }
+
+func TestFeaturesAreCheckedLikeAllSettings(t *testing.T) {
+	set, err := Parse([]byte(fine))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if set.Shards() != 1 {
+		t.Errorf("%d shards without a file", set.Shards())
+	}
+	for text, want := range map[string]string{
+		"shards: 0": "shards: must be 1 to", "shards: 1000": "shards: must be 1 to", "shards: -1": "line 1",
+		"shard: 2": "shard", "shards: two": "line 1", "{": "",
+	} {
+		if err := set.ParseFeatures([]byte(text)); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+	if set.Shards() != 1 {
+		t.Errorf("a bad file left %d shards", set.Shards())
+	}
+	if err := set.ParseFeatures([]byte("shards: 2")); err != nil || set.Shards() != 2 {
+		t.Errorf("%d shards: %v", set.Shards(), err)
+	}
+	if err := set.LoadFeatures("/nonexistent"); err == nil {
+		t.Error("a file that is not there is good")
+	}
+}
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -48,6 +48,8 @@
 	TooLarge int
 	// Listed counts the entries that lists were answered with.
 	Listed int
+	// OnPut is told of each put that was carried out, under the store's lock; it may be nil.
+	OnPut func(key string, value json.RawMessage)
 	// Keep is how many changes it remembers.
 	Keep int
 }
@@ -319,6 +321,9 @@
 		if op.Put != "" {
 			s.keys[op.Put] = &kv{op.Put, op.Value, s.epoch, op.Permit}
 			s.log = append(s.log, change{Put: op.Put, Value: op.Value, Stamp: s.epoch})
+			if s.OnPut != nil {
+				s.OnPut(op.Put, op.Value)
+			}
 		} else if s.keys[op.Remove] != nil {
 			delete(s.keys, op.Remove)
 			s.log = append(s.log, change{Remove: op.Remove, Stamp: s.epoch})
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -45,6 +45,8 @@
 	ErrNewerForm = errors.New("written in a newer form")
 	// ErrUnbalanced tells that allowances and reserve do not add up to the limit.
 	ErrUnbalanced = errors.New("does not add up to the limit")
+	// ErrBadLedger tells that a stored ledger can't be used, for one of the reasons here.
+	ErrBadLedger = errors.New("the ledger can't be used")
 	// ErrShardCount tells that the ledger was made for another number of shards.
 	ErrShardCount = errors.New("made for another number of shards")
 )
--- a/internal/quota/stored.go
+++ b/internal/quota/stored.go
@@ -25,6 +25,26 @@
 // AsksKey is where a shard's asks are stored.
 func AsksKey(shard Shard) string { return asksPrefix + strconv.Itoa(int(shard)) }
 
+// CheckStored tells why one of the stored ledgers can't be used with so many shards; nil if
+// all can.
+func CheckStored(entries []state.Entry, shards int) error {
+	for _, e := range entries {
+		name, found := strings.CutPrefix(e.Key, ledgerPrefix)
+		if !found {
+			continue
+		}
+		ledger := Ledger{}
+		err := json.Unmarshal(e.Value, &ledger)
+		if err == nil {
+			err = ledger.Check(shards)
+		}
+		if err != nil {
+			return fmt.Errorf("%w: of team %s: %v", ErrBadLedger, name, err)
+		}
+	}
+	return nil
+}
+
 // Learn takes in a stored value that is new to this leader, or the news that there is none
 // any more, in the order of their revisions. Keys of others are passed over.
 func (b *Book) Learn(change state.Change) {
--- a/internal/rehearsal/cluster.go
+++ b/internal/rehearsal/cluster.go
@@ -39,6 +39,8 @@
 	http     *http.Client
 	servers  []*http.Server
 	life     context.Context
+	// deadline ends the users' patience; zero: nothing does.
+	deadline time.Time
 	end      context.CancelFunc
 
 	mu          sync.Mutex
@@ -79,6 +81,7 @@
 		cloud: newCloud(machines), life: life, end: end, workers: map[string]*runningWorker{}, tasks: map[string]taskPlan{},
 		http: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	c.cloud.boot, c.cloud.stop = c.startWorker, c.stopWorker
+	c.Store.OnPut = c.noteLedger
 	state, err := c.serve(c.Store)
 	if err != nil {
 		return nil, errors.Join(err, c.Close())
--- /dev/null
+++ b/internal/rehearsal/ledgers.go
@@ -0,0 +1,40 @@
+package rehearsal
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/pebbletrail/pebbletrail/internal/quota"
+)
+
+// noteLedger records a change of a team's ledger.
+func (c *Cluster) noteLedger(key string, value json.RawMessage) {
+	team, found := strings.CutPrefix(key, quota.LedgerKey(""))
+	var ledger quota.Ledger
+	if !found || json.Unmarshal(value, &ledger) != nil {
+		return
+	}
+	c.note(Event{Kind: Transferred, Team: team, Why: describeLedger(&ledger)})
+}
+
+// describeLedger tells in plain words how a limit is split.
+func describeLedger(l *quota.Ledger) string {
+	parts := make([]string, 0, len(l.Accounts)+2)
+	for shard, account := range l.Accounts {
+		parts = append(parts, fmt.Sprintf("shard %d: %s", shard, amountText(account.Allowance)))
+	}
+	parts = append(parts, "reserve: "+amountText(l.Reserve))
+	if !l.Overhang.IsZero() {
+		parts = append(parts, "above the limit: "+amountText(l.Overhang))
+	}
+	return strings.Join(parts, "; ")
+}
+
+func amountText(a quota.Amount) string {
+	room := a.Room()
+	if room.Accels == 0 {
+		return fmt.Sprintf("%g cores", room.Cores)
+	}
+	return fmt.Sprintf("%g cores, %g accelerators", room.Cores, room.Accels)
+}
--- a/internal/rehearsal/quota.go
+++ b/internal/rehearsal/quota.go
@@ -38,11 +38,12 @@
 	Doubled []string
 	// Unserved are accepted jobs of which no task has started.
 	Unserved []string
-	// Jobs, Accepted, Refusals and Starts count submissions, acceptances, refusals and starts.
-	Jobs, Accepted, Refusals, Starts int
-	Changes                          uint64 // of the state service
-	Midway                           string // why the run ended before its time; empty: it did not
-	Events                           []Event
+	// Jobs, Accepted, Refusals, Starts and Transfers count submissions, acceptances, refusals,
+	// starts and changes of ledgers.
+	Jobs, Accepted, Refusals, Starts, Transfers int
+	Changes                                     uint64 // of the state service
+	Midway                                      string // why the run ended before its time; empty: it did not
+	Events                                      []Event
 }
 
 // Failed tells whether anything went wrong that must not.
@@ -113,6 +114,8 @@
 			f.Refusals++
 		case TaskStarted:
 			f.Starts++
+		case Transferred:
+			f.Transfers++
 		}
 	}
 	f.GuaranteeWaits, _ = Waits(f.Events, isProbe)
@@ -124,6 +127,7 @@
 // playQuota carries the script out.
 func playQuota(cluster *Cluster, options QuotaOptions) (submitted int, err error) {
 	deadline := time.Now().Add(options.Longest)
+	cluster.deadline = deadline
 	for _, controller := range cluster.Controllers() {
 		if err := cluster.Start(controller); err != nil {
 			return 0, err
--- a/internal/rehearsal/record.go
+++ b/internal/rehearsal/record.go
@@ -23,6 +23,8 @@
 	Accepted    Kind = "accepted"
 	Refused     Kind = "refused"
 	Disturbed   Kind = "disturbed" // a failure was caused, or ended
+	// Transferred tells that a team's ledger was changed; Why is how its limit is split then.
+	Transferred Kind = "transferred"
 )
 
 // Event is one entry of a run's record.
--- a/internal/rehearsal/report.go
+++ b/internal/rehearsal/report.go
@@ -82,10 +82,16 @@
 	Plots    []template.HTML
 	Refused  []reason
 	Troubles []Event
-	Slowest  time.Duration
-	Verdict  string
+	// Split are the first of all changes of ledgers.
+	Split        []Event
+	TransferRate float64 // a minute
+	Slowest      time.Duration
+	Verdict      string
 }
 
+// mostTransfers is how many of them the report shows; the record has all.
+const mostTransfers = 200
+
 // reason is why submissions were refused, and how often.
 type reason struct {
 	Why   string
@@ -118,6 +124,9 @@
 <h2>Why submissions were turned away</h2>
 <p>A job that is turned away is told when to come back, and does; refusals lose nothing.</p>
 <table><tr><th>Answer</th><th>How often</th></tr>{{range .Refused}}<tr><td>{{.Why}}</td><td>{{.Count}}</td></tr>{{else}}<tr><td colspan="2">none</td></tr>{{end}}</table>
+{{if .Split}}<h2>How the limits were split among the leaders</h2>
+<p>{{printf "%.0f" .TransferRate}} changes a minute. Each row is one transaction; the parts and the reserve always add up to the team's limit.</p>
+<table><tr><th>When</th><th>Team</th><th>Split</th></tr>{{range .Split}}<tr><td>{{seconds .At}}</td><td>{{.Team}}</td><td>{{.Why}}</td></tr>{{end}}</table>{{end}}
 <h2>What was made to fail</h2>
 <table><tr><th>When</th><th>What</th><th>How</th></tr>{{range .Troubles}}<tr><td>{{seconds .At}}</td><td>{{.Where}}</td><td>{{.Why}}</td></tr>{{end}}</table>
 </body></html>
@@ -143,6 +152,10 @@
 		switch event.Kind {
 		case Disturbed:
 			view.Troubles = append(view.Troubles, event)
+		case Transferred:
+			if len(view.Split) < mostTransfers {
+				view.Split = append(view.Split, event)
+			}
 		case Refused:
 			if _, known := at[event.Why]; !known {
 				at[event.Why] = len(view.Refused)
@@ -151,6 +164,7 @@
 			view.Refused[at[event.Why]].Count++
 		}
 	}
+	view.TransferRate = float64(f.Transfers) / max(f.Took.Minutes(), 1e-9)
 	var out bytes.Buffer
 	err := reportTemplate.Execute(&out, &view)
 	return out.Bytes(), err
--- a/internal/rehearsal/users.go
+++ b/internal/rehearsal/users.go
@@ -40,7 +40,7 @@
 	c.tasks[job.ID] = taskPlan{team: job.Team, cores: job.Cores, accelerators: job.Accelerators, runs: job.Runs}
 	c.mu.Unlock()
 	at := rng.IntN(len(c.controllers))
-	for patience := time.Now().Add(time.Minute); time.Now().Before(patience); at++ {
+	for until := c.patience(); time.Now().Before(until); at++ {
 		controller := c.controllers[at%len(c.controllers)]
 		wait, accepted, why := c.submitOnce(controller, &job)
 		if accepted {
@@ -52,6 +52,16 @@
 	}
 }
 
+// patience is until when a user goes on trying: for a minute, as the protocol has it, but not
+// beyond the run.
+func (c *Cluster) patience() time.Time {
+	until := time.Now().Add(time.Minute)
+	if !c.deadline.IsZero() && c.deadline.Before(until) {
+		return c.deadline
+	}
+	return until
+}
+
 // submitOnce sends a job once, and tells how long to wait before the next try.
 func (c *Cluster) submitOnce(controller *Controller, job *Job) (wait time.Duration, accepted bool, why string) {
 	res, err := c.http.Post("http://"+controller.users+"/v2/runs", "application/json", bytes.NewReader(job.body()))
