--- a/internal/fake/net.go
+++ b/internal/fake/net.go
@@ -1,7 +1,8 @@
 // Package fake holds in-memory stand-ins of what the controllers meet: the
-// network, the state service, the cloud and the workers. Stories in the tests
+// network, the state service, the cloud and the workers. Scenarios in the tests
 // run on them, under a clock of their own. They are met by protocol only, so
-// that a rehearsal kit can grow from them.
+// rehearsals of real processes (internal/rehearsal) use the state service and the
+// workers too.
 package fake
 
 import (
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -200,3 +200,8 @@
 		}
 	})
 }
+
+// heartbeat is the first report of a machine.
+func heartbeat(name ids.Machine) *worker.Report {
+	return &worker.Report{Machine: name, Addr: string(name) + ":1", Type: "small", Zone: "north", Session: 1, Tick: 1}
+}
--- a/internal/ids/shard.go
+++ b/internal/ids/shard.go
@@ -14,6 +14,6 @@
 		return 0
 	}
 	hash := fnv.New32a()
-	io.WriteString(hash, string(job)) //nolint:errcheck // a hash takes everything
+	io.WriteString(hash, string(job)) // a hash takes everything
 	return Shard(hash.Sum32() % uint32(shards))
 }
--- a/internal/rehearsal/cloud.go
+++ b/internal/rehearsal/cloud.go
@@ -60,7 +60,7 @@
 func answer(w http.ResponseWriter, code int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(code)
-	json.NewEncoder(w).Encode(body) //nolint:errcheck // the caller has gone away
+	json.NewEncoder(w).Encode(body) // the caller has gone away
 }
 
 // list is the machines after a name, in order of their names.
--- a/internal/rehearsal/cluster.go
+++ b/internal/rehearsal/cluster.go
@@ -112,7 +112,7 @@
 	c.mu.Lock()
 	c.servers = append(c.servers, server)
 	c.mu.Unlock()
-	go server.Serve(listener) //nolint:errcheck // ends with Close
+	go server.Serve(listener) // ends with Close
 	return listener.Addr().String(), nil
 }
 
@@ -194,7 +194,7 @@
 	}
 	ended := make(chan struct{})
 	go func() {
-		process.Wait() //nolint:errcheck // it is killed
+		process.Wait() // it is killed
 		close(ended)
 	}()
 	controller.mu.Lock()
@@ -208,7 +208,7 @@
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
 	if controller.process != nil {
-		controller.process.Process.Signal(signal) //nolint:errcheck // it may have ended
+		controller.process.Process.Signal(signal) // it may have ended
 	}
 }
 
--- a/internal/rehearsal/quota.go
+++ b/internal/rehearsal/quota.go
@@ -239,7 +239,7 @@
 		for {
 			res, err := c.http.Get("http://" + controller.users + "/up")
 			if err == nil {
-				res.Body.Close() //nolint:errcheck // nothing was read
+				res.Body.Close() // nothing was read
 				if res.StatusCode == 200 {
 					break
 				}
--- a/internal/rehearsal/report.go
+++ b/internal/rehearsal/report.go
@@ -73,7 +73,7 @@
 	}
 	// The XML header has no place inside a page.
 	_, svg, _ := bytes.Cut(out.Bytes(), []byte("?>"))
-	return template.HTML(svg), nil //nolint:gosec // drawn here
+	return template.HTML(svg), nil // drawn here
 }
 
 // page is what the report's template shows.
--- a/internal/rehearsal/users.go
+++ b/internal/rehearsal/users.go
@@ -69,7 +69,7 @@
 		return time.Second, false, "no answer"
 	}
 	defer res.Body.Close()
-	io.Copy(io.Discard, res.Body) //nolint:errcheck // the status says it all
+	io.Copy(io.Discard, res.Body) // the status says it all
 	if res.StatusCode == http.StatusCreated || res.StatusCode == http.StatusOK {
 		return 0, true, ""
 	}
--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -29,7 +29,7 @@
 	c.workers[name] = &runningWorker{Worker: worker, server: server, stop: stop}
 	c.mu.Unlock()
 	go worker.Run(life)
-	go server.Serve(listener) //nolint:errcheck // ends with Close
+	go server.Serve(listener) // ends with Close
 	return endpoint, nil
 }
 
@@ -43,7 +43,7 @@
 		return
 	}
 	worker.stop()
-	worker.server.Close() //nolint:errcheck // nothing is lost
+	worker.server.Close() // nothing is lost
 	for _, task := range worker.Live() {
 		worker.End(task, "taken")
 	}
