--- a/internal/rehearsal/quota.go
+++ b/internal/rehearsal/quota.go
@@ -199,7 +199,10 @@
 		}
 		controller := c.controllers[rng.IntN(len(c.controllers))]
 		rest := time.Duration(1500+rng.IntN(4000)) * time.Millisecond
-		switch rng.IntN(4) {
+		switch rng.IntN(5) {
+		case 4:
+			rest += workerLease // what the leader was about to start is long gone by then
+			fallthrough
 		case 0, 1:
 			c.note(Event{Kind: Disturbed, Where: controller.Name, Why: "paused"})
 			controller.Pause()
