Machines that the cloud no longer lists are returned instead of waited for

The new leader of a shard knew four machines by its predecessor's hints that had just been returned; it heard of none, took that for its own being cut off, and counted them as on their way.

A machine not heard that the cloud's list, read for three times its lag since it was first known, does not name is gone, and its deletion proves it. The new test fails without that.

--- a/internal/claim/cluster_state.go
+++ b/internal/claim/cluster_state.go
@@ -49,6 +49,7 @@
 	// another shard tells the same, and gaveUp when a machine was last given up for that.
 	lackSince, gaveUp time.Time
 	othersLack        bool
+	listBegan         time.Time // when the last whole reading of the cloud's list began
 
 	shard ids.Shard
 	keys  ShardKeys
--- a/internal/claim/listed.go
+++ b/internal/claim/listed.go
@@ -45,6 +45,7 @@
 			continue // the list is older than its deletion
 		}
 		m := b.roster.Ensure(l.Name, now, b.trustSilence)
+		m.ListedAt = now
 		if !m.Heard {
 			m.Type, m.Zone, m.Spot, m.Addr = l.Type, l.Zone, l.Spot, l.Addr
 			m.Booting = l.Status == "booting"
@@ -57,6 +58,20 @@
 	}
 }
 
+// ListRead notes that the cloud's list was read to its end, and when that reading began.
+func (b *ClusterState) ListRead(began time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.listBegan = began
+}
+
+// unlisted tells whether the cloud surely knows a machine no more: a machine stays listed
+// until it is gone, and a list lags by twice its nominal lag at most.
+func (b *ClusterState) unlisted(m *worker.Machine) bool {
+	lag := 3 * b.set.Params.Cloud.ListLagS.Duration()
+	return !m.Heard && b.listBegan.Sub(m.Born) > lag && m.ListedAt.Before(b.listBegan) && b.listBegan.Sub(m.ListedAt) > lag
+}
+
 // Emptiable is a machine whose few services others might take over.
 type Emptiable struct {
 	Name  ids.Machine
--- a/internal/claim/returns.go
+++ b/internal/claim/returns.go
@@ -46,6 +46,8 @@
 	switch {
 	case m.Failed:
 		return "it stopped by itself"
+	case b.unlisted(m):
+		return "the cloud does not list it"
 	case !m.TakenAt.IsZero() && (now.After(m.TakenAt) || empty):
 		return "the cloud takes it back"
 	case m.Draining != "" && empty:
--- a/internal/fleet/listing.go
+++ b/internal/fleet/listing.go
@@ -39,5 +39,6 @@
 			continue
 		}
 		p.list.reading, p.list.complete = false, true
+		p.Cluster.ListRead(p.list.began)
 	}
 }
--- a/internal/fleet/ownership_test.go
+++ b/internal/fleet/ownership_test.go
@@ -110,3 +110,21 @@
 		t.Errorf("%v machines are given up at once", cluster.Summary()["draining"])
 	}
 }
+
+func TestMachinesThatTheCloudDoesNotListAreNotWaitedFor(t *testing.T) {
+	// Guards against a leader whose machines were all returned right before its takeover: it
+	// heard of none, took that for its own being cut off, and hired nothing for good.
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		_, cloud, cluster, _, p := setup(2)
+		cluster.Seed(map[ids.Machine]claim.Hint{"gone": {Name: "gone", Addr: "gone:1", Type: "small", Zone: "north", Session: 1}}, time.Now())
+		cluster.Learn("job-1", 1, job("job-1", 1), time.Now())
+		for range 40 {
+			p.Step(ctx)
+			time.Sleep(time.Second)
+		}
+		if len(cloud.Hires()) == 0 {
+			t.Error("nothing was hired for a job that waits")
+		}
+	})
+}
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -38,6 +38,7 @@
 	Pieces      []Piece
 
 	Born      time.Time // when this leader first knew of it
+	ListedAt  time.Time // when the cloud's list last named it
 	HeldSince time.Time // rental, as far as known
 	Booting   bool      // hired, not heard yet
 	Draining  string    // why nothing new goes there; empty: in use
