--- a/internal/peer/shards.go
+++ b/internal/peer/shards.go
@@ -142,18 +142,11 @@
 	h := l.hello(nil)
 	h.Hello.Want = l.wants()
 	sent := time.Now()
-	var out ShardsHello
-	var err error
-	if len(h.Shards) == 1 {
-		err = l.call(ctx, node, "Greet", &h.Hello, &out.Hello)
-		out.Shards = []ShardHello{out.Hello.shard()}
-	} else {
-		err = l.call(ctx, node, "GreetShards", &h, &out)
-	}
+	out, err := l.exchangeHello(ctx, node, &h)
 	if err != nil {
-		return
+		return // an answer may still come, into what nobody looks at any more
 	}
-	l.note(&out)
+	l.note(out)
 	l.state.Budget().Borrowed(out.Hello.Lent, sent)
 	for shard, pool := range l.shards.Pools() {
 		if shard < len(out.Shards) && out.Shards[shard].Owner {
@@ -162,6 +155,19 @@
 	}
 }
 
+// exchangeHello tells one other controller how this node fares, and returns its answer.
+func (l *Link) exchangeHello(ctx context.Context, node ids.Node, h *ShardsHello) (*ShardsHello, error) {
+	out := &ShardsHello{}
+	if len(h.Shards) > 1 {
+		return out, l.call(ctx, node, "GreetShards", h, out)
+	}
+	if err := l.call(ctx, node, "Greet", &h.Hello, &out.Hello); err != nil {
+		return nil, err
+	}
+	out.Shards = []ShardHello{out.Hello.shard()}
+	return out, nil
+}
+
 // note takes in how another node fares.
 func (l *Link) note(h *ShardsHello) {
 	l.mu.Lock()
