--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -48,8 +48,9 @@
 	TooLarge int
 	// Listed counts the entries that lists were answered with.
 	Listed int
-	// OnPut is told of each put that was carried out, under the store's lock; it may be nil.
-	OnPut func(key string, value json.RawMessage)
+	// OnChange is told of each change that was carried out, in order and under the store's
+	// lock; the value of a removed key is nil. It may be nil.
+	OnChange func(key string, value json.RawMessage)
 	// Keep is how many changes it remembers.
 	Keep int
 }
@@ -321,17 +322,22 @@
 		if op.Put != "" {
 			s.keys[op.Put] = &kv{op.Put, op.Value, s.epoch, op.Permit}
 			s.log = append(s.log, change{Put: op.Put, Value: op.Value, Stamp: s.epoch})
-			if s.OnPut != nil {
-				s.OnPut(op.Put, op.Value)
-			}
+			s.changed(op.Put, op.Value)
 		} else if s.keys[op.Remove] != nil {
 			delete(s.keys, op.Remove)
 			s.log = append(s.log, change{Remove: op.Remove, Stamp: s.epoch})
+			s.changed(op.Remove, nil)
 		}
 	}
 	reply(w, 200, map[string]uint64{"epoch": s.epoch})
 }
 
+func (s *Store) changed(key string, value json.RawMessage) {
+	if s.OnChange != nil {
+		s.OnChange(key, value)
+	}
+}
+
 func (s *Store) follow(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
--- a/internal/quota/leaders_test.go
+++ b/internal/quota/leaders_test.go
@@ -94,6 +94,74 @@
 	return !running, w.ended[id]
 }
 
+// storedOrder checks, in the order in which the store carries changes out, that what is
+// recorded of a shard's tasks never takes more than the shard's allowance. The store
+// applies one transaction after the other, so that order is the one in which transfers and
+// grants took effect, whoever decided them when.
+type storedOrder struct {
+	ledgers map[string]quota.Ledger
+	used    map[string]map[quota.Shard]quota.Amount
+	tasks   map[string]task
+	illegal string
+	checked int
+}
+
+func newStoredOrder() *storedOrder {
+	return &storedOrder{ledgers: map[string]quota.Ledger{}, used: map[string]map[quota.Shard]quota.Amount{}, tasks: map[string]task{}}
+}
+
+// change takes in one change; a nil value is a removal.
+func (o *storedOrder) change(key string, value json.RawMessage) {
+	for _, team := range []string{"red", "blue"} {
+		if key == quota.LedgerKey(team) {
+			var ledger quota.Ledger
+			json.Unmarshal(value, &ledger)
+			o.ledgers[team] = ledger
+			o.check(team, key)
+		}
+	}
+	var shard quota.Shard
+	if n, _ := fmt.Sscanf(key, "task/%d/", &shard); n != 1 {
+		return
+	}
+	was, there := o.tasks[key]
+	if there {
+		o.account(was, shard, -1)
+		delete(o.tasks, key)
+	}
+	if value == nil {
+		return
+	}
+	var record task
+	json.Unmarshal(value, &record)
+	o.tasks[key] = record
+	o.account(record, shard, 1)
+	o.check(record.Team, key)
+}
+
+// account adds what a task takes to its team's use, or takes it off.
+func (o *storedOrder) account(t task, shard quota.Shard, sign int64) {
+	if o.used[t.Team] == nil {
+		o.used[t.Team] = map[quota.Shard]quota.Amount{}
+	}
+	sum := o.used[t.Team][shard]
+	for r, amount := range quota.AmountOf(t.Need) {
+		sum[r] += sign * amount
+	}
+	sum[quota.Memory] = 0 // not limited here
+	o.used[t.Team][shard] = sum
+}
+
+func (o *storedOrder) check(team, key string) {
+	ledger := o.ledgers[team]
+	for shard, account := range ledger.Accounts {
+		o.checked++
+		if used := o.used[team][quota.Shard(shard)]; ledger.Open() && !account.Allowance.Covers(used) && o.illegal == "" {
+			o.illegal = fmt.Sprintf("after the change of %s shard %d has stored tasks of team %s that use %v of an allowance of %v", key, shard, team, used, account.Allowance)
+		}
+	}
+}
+
 // simulation is several controllers, the shards they lead and their workers.
 type simulation struct {
 	t       *testing.T
@@ -488,12 +556,17 @@
 					s.start(name)
 				}
 			}()
+			order := newStoredOrder()
+			s.store.OnChange = order.change
 			const rounds = 30
 			s.flood(rand.New(rand.NewPCG(seed, 4)), rounds)
 			s.finish(rounds*shardCount*len(s.limits), 5*time.Minute)
 			if breach, _ := s.workers.record(); breach != "" {
 				t.Errorf("seed %d: %s", seed, breach)
 			}
+			if order.illegal != "" || order.checked == 0 {
+				t.Errorf("seed %d: %d states checked: %s", seed, order.checked, order.illegal)
+			}
 		})
 	}
 }
