Hooks of the stand-ins and of the mirror are set under their locks

Cause: TestNoTeamExceedsItsLimitWhoeverFails set fake.Store.OnChange after five controllers had begun to write, and read the result while they went on: a data race that the detector saw in one run of eight. Change: the hooks of fake.Store, fake.Net, fake.Worker and state.Mirror are no fields any more but set under the lock under which they are read; the test's own record has a lock and is there from the first change on, so that it checks the whole order.

--- a/internal/claim/cancel_start_test.go
+++ b/internal/claim/cancel_start_test.go
@@ -20,7 +20,7 @@
 		w.start("b")
 		w.worker("m1", "north")
 		time.Sleep(10 * time.Second)
-		w.net.Delay = func() time.Duration { return 390 * time.Millisecond }
+		w.net.SetDelay(func() time.Duration { return 390 * time.Millisecond })
 		w.net.SetRule(func(from, to string, r *http.Request, body []byte) fake.Fate {
 			switch {
 			case touches(from, to, "a", "b"):
--- a/internal/claim/mixed_test.go
+++ b/internal/claim/mixed_test.go
@@ -29,7 +29,7 @@
 			}
 			time.Sleep(10 * time.Second)
 			w.lags(d)
-			w.net.Delay = func() time.Duration { return d.ms(2000, 12000) }
+			w.net.SetDelay(func() time.Duration { return d.ms(2000, 12000) })
 			w.submit("a", spec("job-90", "array", 1))
 			w.submit("b", awaiting(spec("job-91", "array", 1), "job-90"))
 			var mu sync.Mutex
--- a/internal/claim/pipeline_handover_test.go
+++ b/internal/claim/pipeline_handover_test.go
@@ -124,7 +124,7 @@
 				w.submit("a", awaiting(spec("job-3", "array", 1), "job-1"))
 				w.until(5*time.Second, "the first runs", func() bool { return w.everywhere("job-1", 1) })
 				o := w.leader()
-				w.net.Delay = func() time.Duration { return delay }
+				w.net.SetDelay(func() time.Duration { return delay })
 				gone := func() { time.AfterFunc(50*time.Millisecond, o.kill) }
 				var hits atomic.Int32
 				w.net.SetRule(func(from, _ string, r *http.Request, body []byte) fake.Fate {
@@ -177,7 +177,7 @@
 				w.chainOf(3)
 				w.until(5*time.Second, "the first runs", func() bool { return w.everywhere("job-1", 1) })
 				o := w.leader()
-				w.net.Delay = func() time.Duration { return delay }
+				w.net.SetDelay(func() time.Duration { return delay })
 				var late atomic.Int32
 				w.net.SetRule(func(from, _ string, r *http.Request, body []byte) fake.Fate {
 					switch {
--- a/internal/claim/pool.go
+++ b/internal/claim/pool.go
@@ -86,7 +86,7 @@
 // its node's earlier ones.
 func NewPool(set *config.Settings, c *state.Client, cmd *worker.Commander, incarnation string) *Pool {
 	p := newPool(set, c, cmd, incarnation, 0, newMirrors(c))
-	p.jobs.OnChange = p.followJobs
+	p.jobs.NotifyChanges(p.followJobs)
 	return p
 }
 
--- a/internal/claim/shards.go
+++ b/internal/claim/shards.go
@@ -41,17 +41,17 @@
 	for shard := range ids.Shard(set.Shards()) {
 		s.pools = append(s.pools, newPool(set, c, cmd, incarnation, shard, s.copies))
 	}
-	s.copies.pool.OnChange = s.owners.learn
-	s.copies.jobs.OnChange = func(ch state.Change) {
+	s.copies.pool.NotifyChanges(s.owners.learn)
+	s.copies.jobs.NotifyChanges(func(ch state.Change) {
 		for _, p := range s.pools {
 			p.followJobs(ch)
 		}
-	}
-	s.allowances.OnChange = func(ch state.Change) {
+	})
+	s.allowances.NotifyChanges(func(ch state.Change) {
 		for _, p := range s.pools {
 			p.learnAllowance(ch)
 		}
-	}
+	})
 	return s
 }
 
--- a/internal/claim/test_cluster_test.go
+++ b/internal/claim/test_cluster_test.go
@@ -99,12 +99,12 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		w := &testCluster{t: t, ctx: ctx, net: fake.NewNet(), store: fake.NewStore(), nodes: map[string]*node{}}
 		w.net.Listen("state:1", w.store)
-		w.net.Lag = func() time.Duration {
+		w.net.SetLag(func() time.Duration {
 			if f := w.lag.Load(); f != nil {
 				return (*f)()
 			}
 			return 0
-		}
+		})
 		w.rules = newRules(w.settings("a"), func(rule, what string) { t.Errorf("rule broken: %s: %s", rule, what) })
 		defer synctest.Wait()
 		defer cancel()
@@ -262,8 +262,8 @@
 
 func (w *testCluster) worker(name, zone string) *fake.Worker {
 	k := &fake.Worker{Name: name, Addr: name + ":9000", Type: "small", Zone: zone, Net: w.net,
-		Nodes: []string{"a:8080", "b:8080"}, Names: []string{"a", "b"}, Report: 2 * time.Second, Lease: 20 * time.Second,
-		Watch: w.rules.Event}
+		Nodes: []string{"a:8080", "b:8080"}, Names: []string{"a", "b"}, Report: 2 * time.Second, Lease: 20 * time.Second}
+	k.NotifyEvents(w.rules.Event)
 	w.mu.Lock()
 	w.workers = append(w.workers, k)
 	w.mu.Unlock()
--- a/internal/claim/users_test.go
+++ b/internal/claim/users_test.go
@@ -290,7 +290,7 @@
 	w.worker("m2", "south")
 	time.Sleep(10 * time.Second)
 	w.lags(d)
-	w.net.Delay = func() time.Duration { return d.ms(2000, 12000) }
+	w.net.SetDelay(func() time.Duration { return d.ms(2000, 12000) })
 	var mu sync.Mutex // of hits
 	hits := 0
 	hit := func(from, to string, r *http.Request, body []byte) fake.Fate {
--- a/internal/fake/fake_test.go
+++ b/internal/fake/fake_test.go
@@ -44,7 +44,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n, s := NewNet(), NewStore()
 		n.Listen("s:1", s)
-		n.Delay = func() time.Duration { return 12 * time.Second }
+		n.SetDelay(func() time.Duration { return 12 * time.Second })
 		fates := map[string]Fate{"lost": LoseAnswer, "late": Late, "void": Late, "slow": SlowAnswer}
 		n.SetRule(func(_, _ string, r *http.Request, body []byte) Fate {
 			for k, f := range fates {
@@ -134,8 +134,8 @@
 				heard.Add(1)
 				reply(rw, 200, map[string]any{"baton": 1, "orders": []any{}})
 			}))
-			w := &Worker{Name: "m", Addr: "m:1", Net: n, Nodes: []string{"a:1"}, Report: 2 * time.Second, Lease: 20 * time.Second,
-				Watch: func(e Event) { ends = append(ends, e.Cause) }}
+			w := &Worker{Name: "m", Addr: "m:1", Net: n, Nodes: []string{"a:1"}, Report: 2 * time.Second, Lease: 20 * time.Second}
+			w.NotifyEvents(func(e Event) { ends = append(ends, e.Cause) })
 			n.SetRule(c.rule)
 			go w.Run(ctx)
 			time.Sleep(time.Second)
--- /dev/null
+++ b/internal/fake/hooks_test.go
@@ -0,0 +1,54 @@
+package fake
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+func TestHooksMayBeSetWhileTheStandInIsInUse(t *testing.T) {
+	// Tests set hooks after controllers have begun to call. As plain fields that was a data
+	// race, which only the race detector sees, and only now and then.
+	network, store := NewNet(), NewStore()
+	network.Listen("state:1", store)
+	worker := &Worker{Name: "m", Addr: "m:1", Net: network}
+	commit := func() {
+		body := strings.NewReader(`{"then":[{"put":"a","value":1}]}`)
+		if res, err := network.Client("a").Post("http://state:1/commit", "application/json", body); err != nil || res.StatusCode != 200 {
+			t.Errorf("a commit got %v, %v", res, err)
+		}
+	}
+	follow := func() { network.Client("a").Get("http://state:1/follow?after=0&holdMs=0") }
+	for _, hook := range []struct {
+		name     string
+		set, use func()
+	}{
+		{"changes", func() { store.NotifyChanges(func(string, json.RawMessage) {}) }, commit},
+		{"kept changes", func() { store.SetKeep(50) }, follow},
+		{"rule", func() { network.SetRule(func(string, string, *http.Request, []byte) Fate { return Deliver }) }, commit},
+		{"lag", func() { network.SetLag(func() time.Duration { return 0 }) }, commit},
+		{"delay", func() { network.SetDelay(func() time.Duration { return 0 }) }, func() { network.nextDelay() }},
+		{"events", func() { worker.NotifyEvents(func(Event) {}) }, func() {
+			worker.mu.Lock()
+			defer worker.mu.Unlock()
+			worker.notify(&Piece{Task: "job-1/0"}, time.Time{}, true, "")
+		}},
+	} {
+		t.Run(hook.name, func(*testing.T) {
+			const rounds = 50
+			var users sync.WaitGroup
+			users.Go(func() {
+				for range rounds {
+					hook.use()
+				}
+			})
+			for range rounds {
+				hook.set()
+			}
+			users.Wait()
+		})
+	}
+}
--- a/internal/fake/net.go
+++ b/internal/fake/net.go
@@ -46,12 +46,12 @@
 	mu    sync.Mutex
 	hosts map[string]http.Handler
 	held  []func()
-	// Rule decides each request's fate; nil delivers all.
-	Rule func(from, to string, r *http.Request, body []byte) Fate
-	// Delay is how late the next Late request or SlowAnswer is delivered; 2 s if nil.
-	Delay func() time.Duration
-	// Lag is how long a request takes, and its answer again; nil is no time.
-	Lag func() time.Duration
+	// rule decides each request's fate; nil delivers all.
+	rule Rule
+	// delay is how late the next Late request or SlowAnswer is delivered; defaultDelay if nil.
+	delay func() time.Duration
+	// lag is how long a request takes, and its answer again; nil is no time.
+	lag func() time.Duration
 
 	results map[string]bool // tasks that completed, whose results are kept outside the machines
 }
@@ -151,14 +151,28 @@
 func (n *Net) SetRule(f func(from, to string, r *http.Request, body []byte) Fate) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.Rule = f
+	n.rule = f
+}
+
+// SetDelay sets how late the next Late request or SlowAnswer is delivered.
+func (n *Net) SetDelay(f func() time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay = f
+}
+
+// SetLag sets how long a request takes, and its answer again.
+func (n *Net) SetLag(f func() time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lag = f
 }
 
 // Current is the rule now.
 func (n *Net) Current() Rule {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.Rule
+	return n.rule
 }
 
 // Client is how one host calls the others.
@@ -207,7 +221,7 @@
 		r.Body.Close()
 	}
 	w.net.mu.Lock()
-	h, rule, lag := w.net.hosts[r.URL.Host], w.net.Rule, w.net.Lag
+	h, rule, lag := w.net.hosts[r.URL.Host], w.net.rule, w.net.lag
 	w.net.mu.Unlock()
 	d := &delivery{net: w.net, from: w.from, request: r, body: body, lag: lag, sent: time.Now().Format(time.RFC3339Nano)}
 	fate := Deliver
@@ -222,10 +236,10 @@
 	case LoseAnswer:
 		d.deliver(h)
 	case Late:
-		time.AfterFunc(w.net.delay(), d.deliverLate)
+		time.AfterFunc(w.net.nextDelay(), d.deliverLate)
 	case SlowAnswer:
 		res, err := d.deliver(h)
-		if sleep(r.Context(), w.net.delay()) {
+		if sleep(r.Context(), w.net.nextDelay()) {
 			return res, err
 		}
 	case Hold:
@@ -240,12 +254,18 @@
 	return nil, r.Context().Err()
 }
 
-// delay is how late the next late request or answer is.
-func (n *Net) delay() time.Duration {
-	if n.Delay == nil {
-		return 2 * time.Second
+// defaultDelay is how late a Late request or a SlowAnswer is unless SetDelay says otherwise.
+const defaultDelay = 2 * time.Second
+
+// nextDelay is how late the next late request or answer is.
+func (n *Net) nextDelay() time.Duration {
+	n.mu.Lock()
+	delay := n.delay
+	n.mu.Unlock()
+	if delay == nil {
+		return defaultDelay
 	}
-	return n.Delay()
+	return delay()
 }
 
 // holdBack keeps a request until Release.
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -48,16 +48,33 @@
 	TooLarge int
 	// Listed counts the entries that lists were answered with.
 	Listed int
-	// OnChange is told of each change that was carried out, in order and under the store's
-	// lock; the value of a removed key is nil. It may be nil.
-	OnChange func(key string, value json.RawMessage)
-	// Keep is how many changes it remembers.
-	Keep int
+	// onChange is told of each change that was carried out; nil: nobody is.
+	onChange func(key string, value json.RawMessage)
+	// keep is how many changes it remembers.
+	keep int
 }
 
+// defaultKeep is how many changes a store remembers unless told otherwise.
+const defaultKeep = 10000
+
 // NewStore makes an empty store.
 func NewStore() *Store {
-	return &Store{keys: map[string]*kv{}, leases: map[uint64]*lease{}, Keep: 10000}
+	return &Store{keys: map[string]*kv{}, leases: map[uint64]*lease{}, keep: defaultKeep}
+}
+
+// NotifyChanges has f told of each change carried out from now on, in order and under the
+// store's lock; the value of a removed key is nil.
+func (s *Store) NotifyChanges(f func(key string, value json.RawMessage)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onChange = f
+}
+
+// SetKeep sets how many changes it remembers.
+func (s *Store) SetKeep(changes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keep = changes
 }
 
 // SetDown begins or ends an outage; at its end every lease has its full time.
@@ -333,8 +350,8 @@
 }
 
 func (s *Store) changed(key string, value json.RawMessage) {
-	if s.OnChange != nil {
-		s.OnChange(key, value)
+	if s.onChange != nil {
+		s.onChange(key, value)
 	}
 }
 
@@ -346,7 +363,7 @@
 	for {
 		s.mu.Lock()
 		s.expire()
-		if n := len(s.log); n > s.Keep && after < s.log[n-s.Keep].Stamp-1 {
+		if n := len(s.log); n > s.keep && after < s.log[n-s.keep].Stamp-1 {
 			s.mu.Unlock()
 			reply(w, 410, map[string]string{"error": "too old"})
 			return
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -48,10 +48,10 @@
 	Report, Lease          time.Duration
 	// HTTP is how it calls the controllers; nil: over Net.
 	HTTP *http.Client
-	// Watch is told every event as it happens, under the worker's lock.
-	Watch func(Event)
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// watch is told every event as it happens; nil: nobody is.
+	watch   func(Event)
 	session uint64
 	tick    uint64
 	token   uint64
@@ -61,7 +61,7 @@
 	warning *float64
 	at      int
 	Starts  []string // every start carried out, "task#attempt"
-	Silent  bool     // sends no heartbeats
+	silent  bool     // sends no heartbeats
 	changed chan struct{}
 	raised  time.Time // when a higher token last counted as a change
 	hung    chan struct{}
@@ -69,9 +69,17 @@
 	held    []func()
 }
 
+// NotifyEvents has f told of every event from now on, as it happens and under the worker's
+// lock.
+func (w *Worker) NotifyEvents(f func(Event)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.watch = f
+}
+
 func (w *Worker) notify(p *Piece, sent time.Time, start bool, cause string) {
-	if w.Watch != nil {
-		w.Watch(Event{time.Now(), sent, w, w.session, p.Task, p.Attempt, start, cause})
+	if w.watch != nil {
+		w.watch(Event{time.Now(), sent, w, w.session, p.Task, p.Attempt, start, cause})
 	}
 }
 
@@ -217,7 +225,7 @@
 	w.wake(run)
 	w.mu.Lock()
 	w.checkLease()
-	if w.Silent {
+	if w.silent {
 		w.mu.Unlock()
 		return w.Report
 	}
@@ -301,7 +309,7 @@
 func (w *Worker) SetSilent(s bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.Silent = s
+	w.silent = s
 }
 
 // Live lists the tasks on the machine that have not ended.
--- a/internal/quota/leaders_test.go
+++ b/internal/quota/leaders_test.go
@@ -99,6 +99,7 @@
 // applies one transaction after the other, so that order is the one in which transfers and
 // grants took effect, whoever decided them when.
 type storedOrder struct {
+	mu      sync.Mutex
 	ledgers map[string]quota.Ledger
 	used    map[string]map[quota.Shard]quota.Amount
 	tasks   map[string]task
@@ -112,6 +113,8 @@
 
 // change takes in one change; a nil value is a removal.
 func (o *storedOrder) change(key string, value json.RawMessage) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	for _, team := range []string{"red", "blue"} {
 		if key == quota.LedgerKey(team) {
 			var ledger quota.Ledger
@@ -152,6 +155,14 @@
 	o.used[t.Team][shard] = sum
 }
 
+// verdict is the first state found that must not be, and how many were checked. The store goes
+// on changing while the test reads this.
+func (o *storedOrder) verdict() (illegal string, checked int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.illegal, o.checked
+}
+
 func (o *storedOrder) check(team, key string) {
 	ledger := o.ledgers[team]
 	for shard, account := range ledger.Accounts {
@@ -257,13 +268,13 @@
 	c := &controller{simulation: s, name: name, started: ids.WallOf(time.Now()), terms: map[quota.Shard]*term{},
 		client: state.NewClient("state:1", s.net.Client(name), state.NewBudget(2000, 1000, 5, 0.5))}
 	c.mirror = state.NewMirror(c.client, quota.Prefix, 50*time.Millisecond)
-	c.mirror.OnChange = func(change state.Change) {
+	c.mirror.NotifyChanges(func(change state.Change) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		for _, t := range c.terms {
 			t.book.Learn(change)
 		}
-	}
+	})
 	go c.mirror.Run(ctx)
 	for shard := range quota.Shard(shardCount) {
 		go c.lead(ctx, shard, s.lives)
@@ -517,6 +528,8 @@
 				}
 				return fake.Deliver
 			})
+			order := newStoredOrder()
+			s.store.NotifyChanges(order.change)
 			names := []string{"a", "b", "c", "d", "e"}
 			kill := map[string]context.CancelFunc{}
 			for _, name := range names {
@@ -556,16 +569,14 @@
 					s.start(name)
 				}
 			}()
-			order := newStoredOrder()
-			s.store.OnChange = order.change
 			const rounds = 30
 			s.flood(rand.New(rand.NewPCG(seed, 4)), rounds)
 			s.finish(rounds*shardCount*len(s.limits), 5*time.Minute)
 			if breach, _ := s.workers.record(); breach != "" {
 				t.Errorf("seed %d: %s", seed, breach)
 			}
-			if order.illegal != "" || order.checked == 0 {
-				t.Errorf("seed %d: %d states checked: %s", seed, order.checked, order.illegal)
+			if illegal, checked := order.verdict(); illegal != "" || checked == 0 {
+				t.Errorf("seed %d: %d states checked: %s", seed, checked, illegal)
 			}
 		})
 	}
--- a/internal/rehearsal/cluster.go
+++ b/internal/rehearsal/cluster.go
@@ -81,7 +81,7 @@
 		cloud: newCloud(machines), life: life, end: end, workers: map[string]*runningWorker{}, tasks: map[string]taskPlan{},
 		http: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	c.cloud.boot, c.cloud.stop = c.startWorker, c.stopWorker
-	c.Store.OnChange = c.noteLedger
+	c.Store.NotifyChanges(c.noteLedger)
 	state, err := c.serve(c.Store)
 	if err != nil {
 		return nil, errors.Join(err, c.Close())
--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -18,7 +18,8 @@
 	}
 	endpoint = listener.Addr().String()
 	worker := &fake.Worker{Name: name, Addr: endpoint, Type: "standard", Zone: zone, Net: c.network, HTTP: c.http,
-		Report: reportEvery, Lease: workerLease, Watch: c.watch}
+		Report: reportEvery, Lease: workerLease}
+	worker.NotifyEvents(c.watch)
 	for _, controller := range c.controllers {
 		worker.Nodes = append(worker.Nodes, controller.users)
 		worker.Names = append(worker.Names, controller.Name)
--- a/internal/state/mirror.go
+++ b/internal/state/mirror.go
@@ -18,11 +18,10 @@
 	c      *Client
 	prefix string
 	pause  time.Duration
-	// OnChange is called with each change in order, outside the mirror's lock.
-	OnChange func(Change)
-
-	// order has OnChange called in the order in which the changes were applied.
-	order sync.Mutex
+	// order has onChange called in the order in which the changes were applied; it guards
+	// onChange too.
+	order    sync.Mutex
+	onChange func(Change)
 
 	mu      sync.Mutex
 	entries map[string]Entry
@@ -48,6 +47,14 @@
 	return &Mirror{c: c, prefix: prefix, pause: pause, entries: map[string]Entry{}, life: context.Background()}
 }
 
+// NotifyChanges has f called with each change from now on, in order and outside the mirror's
+// lock.
+func (m *Mirror) NotifyChanges(f func(Change)) {
+	m.order.Lock()
+	defer m.order.Unlock()
+	m.onChange = f
+}
+
 // syncEvery spaces the rounds: hundreds of polls a second cost a few calls.
 const syncEvery = 250 * time.Millisecond
 
@@ -308,13 +315,13 @@
 	m.notify(fresh)
 }
 
-// notify passes changes on to OnChange, in order.
+// notify passes changes on, in order; whoever calls holds that lock.
 func (m *Mirror) notify(changes []Change) {
-	if m.OnChange == nil {
+	if m.onChange == nil {
 		return
 	}
 	for _, change := range changes {
-		m.OnChange(change)
+		m.onChange(change)
 	}
 }
 
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/fake"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
 )
 
 func setup() (*fake.Net, *fake.Store, *Client) {
@@ -66,7 +67,7 @@
 		defer synctest.Wait()
 		defer cancel()
 		n, s, c := setup()
-		s.Keep = 3
+		s.SetKeep(3)
 		set := func(i int) {
 			if _, err := c.Commit(ctx, Txn{Then: []Op{{Put: fmt.Sprintf("j/%d", i), Value: []byte(`1`)}, {Remove: fmt.Sprintf("j/%d", i-2)}}}, Urgent); err != nil {
 				t.Fatal(err)
@@ -75,7 +76,7 @@
 		set(1)
 		seen := map[string]bool{}
 		m := NewMirror(c, "j/", 10*time.Millisecond)
-		m.OnChange = func(ch Change) { seen[ch.Key()] = ch.Put != "" }
+		m.NotifyChanges(func(ch Change) { seen[ch.Key()] = ch.Put != "" })
 		go m.Run(ctx)
 		time.Sleep(time.Second)
 		n.SetRule(func(_, _ string, r *http.Request, _ []byte) fake.Fate {
@@ -98,6 +99,27 @@
 	})
 }
 
+func TestAMirrorsListenerMayBeSetWhileChangesArrive(t *testing.T) {
+	// As a plain field the listener raced with the changes that it is told of.
+	m := NewMirror(nil, "j/", time.Second)
+	const changes = 50
+	var heard atomic.Int32
+	var applied sync.WaitGroup
+	applied.Go(func() {
+		for i := range changes {
+			m.apply(ids.Epoch(i+1), []Change{{Put: "j/1", Revision: ids.Revision(i + 1)}})
+		}
+	})
+	for range changes {
+		m.NotifyChanges(func(Change) { heard.Add(1) })
+	}
+	applied.Wait()
+	m.apply(changes+1, []Change{{Put: "j/1", Revision: changes + 1}})
+	if heard.Load() == 0 {
+		t.Error("the listener was told of nothing")
+	}
+}
+
 func TestUrgentCallsComeFirstAndUsersAreRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx := context.Background()
