--- a/cmd/pebbletrail/machine_types.go
+++ b/cmd/pebbletrail/machine_types.go
@@ -10,6 +10,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/fleet"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -67,7 +68,7 @@
 	if err != nil {
 		return
 	}
-	if s.Apply(ctx, []state.Op{{Put: claim.TypesKey, Value: raw}}) == nil {
+	if s.Apply(ctx, []state.Op{{Put: record.TypesKey, Value: raw}}) == nil {
 		m.mu.Lock()
 		m.kept = key
 		m.mu.Unlock()
--- a/cmd/pebbletrail/serve.go
+++ b/cmd/pebbletrail/serve.go
@@ -21,6 +21,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/measure"
 	"github.com/pebbletrail/pebbletrail/internal/peer"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
@@ -119,7 +120,7 @@
 	go c.link.Serve(cluster)
 	c.link.Run(ctx)
 	go c.types.run(ctx)
-	go c.state.Watch(ctx, claim.KeysOf(0, c.set.Shards()).Generation())
+	go c.state.Watch(ctx, record.KeysOf(0, c.set.Shards()).Generation())
 	go func() {
 		for ctx.Err() == nil {
 			time.Sleep(time.Minute)
@@ -143,7 +144,7 @@
 // provision rents and returns machines while this node leads a shard.
 func (c *controller) provision(ctx context.Context, pool *claim.Pool, shard ids.Shard, t *claim.Term) {
 	p := &fleet.Provisioner{Cloud: c.cloud, Cluster: t.Cluster, Store: t.Committer, Gen: t.Gen, Sure: func() bool { return pool.Sure(t) },
-		Keys: claim.KeysOf(shard, c.set.Shards()), Shard: shard,
+		Keys: record.KeysOf(shard, c.set.Shards()), Shard: shard,
 		ListEvery: max(2*time.Second, c.set.Params.Cloud.ListLagS.Duration()/2)}
 	if c.set.Shards() > 1 {
 		p.Cloud = fleet.NewCloud(c.set.Services.Cloud, client(2, 2), c.set.Params.Cloud.RPS/float64(c.set.Shards()))
--- a/internal/claim/allowances.go
+++ b/internal/claim/allowances.go
@@ -9,6 +9,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
 	"github.com/pebbletrail/pebbletrail/internal/quota"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -63,13 +64,13 @@
 func (ps *pass) lacks(j *Job, n int) {
 	s := &j.Rec.Spec
 	unit := s.Need
-	if s.Shape == Gang {
+	if s.Shape == record.Gang {
 		unit = s.Need.Times(float64(n))
 	}
 	demand, found := ps.demands[s.Team]
 	if !found {
 		demand.Unit = quota.AmountOf(unit)
-		demand.Rank = quota.Rank{Guaranteed: j.guaranteed, Priority: int(j.priority()), Since: j.Rec.since()}
+		demand.Rank = quota.Rank{Guaranteed: j.guaranteed, Priority: int(j.priority()), Since: j.Rec.Since()}
 	}
 	demand.Total = demand.Total.Plus(quota.AmountOf(s.Need.Times(float64(n))))
 	ps.demands[s.Team] = demand
@@ -83,15 +84,15 @@
 	}
 	for _, team := range b.set.Params.Teams {
 		amount, rank, owed := b.quota.Owed(team.Name)
-		if owed && Priority(rank.Priority) >= High {
-			b.stopLesser(team.Name, Priority(rank.Priority), amount.Room())
+		if owed && record.Priority(rank.Priority) >= record.High {
+			b.stopLesser(team.Name, record.Priority(rank.Priority), amount.Room())
 		}
 	}
 }
 
 // stopLesser stops work of a team below a priority until it frees what is named. What is
 // being stopped already counts.
-func (b *ClusterState) stopLesser(team string, below Priority, free placement.Room) {
+func (b *ClusterState) stopLesser(team string, below record.Priority, free placement.Room) {
 	var victims []*Place
 	for _, j := range b.line {
 		if j.Rec.Spec.Team != team || j.priority() >= below {
--- a/internal/claim/apply_test.go
+++ b/internal/claim/apply_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 
 	"github.com/pebbletrail/pebbletrail/internal/fake"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -23,11 +24,11 @@
 		cluster.set.Params.State.ValueKB = 2
 		committer := NewCommitter(cluster, client, "a", 0)
 		long := []byte(`"` + strings.Repeat("x", 3000) + `"`)
-		err := committer.Apply(context.Background(), []state.Op{{Put: TypesKey, Value: long}})
+		err := committer.Apply(context.Background(), []state.Op{{Put: record.TypesKey, Value: long}})
 		if !errors.Is(err, state.ErrMalformed) || store.TooLarge > 0 {
 			t.Errorf("%v; %d transactions were too large", err, store.TooLarge)
 		}
-		if err := committer.Apply(context.Background(), []state.Op{{Put: TypesKey, Value: []byte(`1`)}}); err != nil {
+		if err := committer.Apply(context.Background(), []state.Op{{Put: record.TypesKey, Value: []byte(`1`)}}); err != nil {
 			t.Errorf("a small value: %v", err)
 		}
 	})
--- a/internal/claim/cluster_state.go
+++ b/internal/claim/cluster_state.go
@@ -1,3 +1,5 @@
+// Package claim owns the claim on the machine pool and what the leader does with it: claiming
+// jobs, marking batches before their starts, and settling outcomes from reports.
 package claim
 
 import (
@@ -12,6 +14,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
 	"github.com/pebbletrail/pebbletrail/internal/quota"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -55,10 +58,10 @@
 	listBegan         time.Time // when the last whole reading of the cloud's list began
 
 	shard ids.Shard
-	keys  ShardKeys
+	keys  record.ShardKeys
 	// elsewhere is how a live job of another shard stands, by this node's copy of the
 	// records; live is false if there is none.
-	elsewhere func(id ids.Job) (how Status, live bool)
+	elsewhere func(id ids.Job) (how record.Status, live bool)
 	types     map[string]*placement.Type
 	rng       *rand.Rand
 	// trustSilence is the earliest that an unheard machine's lapse counts: a
@@ -104,8 +107,8 @@
 // newShardState makes the cluster state of one term of leading a shard.
 func newShardState(set *config.Settings, writer string, gen ids.Generation, trustSilence time.Time, shard ids.Shard) *ClusterState {
 	return &ClusterState{
-		shard: shard, keys: KeysOf(shard, set.Shards()),
-		elsewhere: func(ids.Job) (Status, bool) { return "", false },
+		shard: shard, keys: record.KeysOf(shard, set.Shards()),
+		elsewhere: func(ids.Job) (record.Status, bool) { return "", false },
 		set:       set, writer: writer, gen: gen, first: gen,
 		jobs: map[ids.Job]*Job{}, gone: map[ids.Job]bool{},
 		roster:        worker.NewRegistry(set.Params.Workers.LeaseS),
@@ -149,9 +152,9 @@
 		j.Rec.Trail[n-1].At = ids.WallOf(time.Now())
 		return
 	}
-	j.Rec.Trail = append(j.Rec.Trail, Event{ids.WallOf(time.Now()), what})
+	j.Rec.Trail = append(j.Rec.Trail, record.Event{At: ids.WallOf(time.Now()), What: what})
 	if len(j.Rec.Trail) > limit {
-		j.Rec.Trail = append([]Event(nil), j.Rec.Trail[len(j.Rec.Trail)-limit:]...)
+		j.Rec.Trail = append([]record.Event(nil), j.Rec.Trail[len(j.Rec.Trail)-limit:]...)
 	}
 }
 
@@ -166,11 +169,11 @@
 			j.urgent = true
 		}
 	}
-	if !j.Rec.Status.Over() && j.Rec.Status != Cancelling {
+	if !j.Rec.Status.Over() && j.Rec.Status != record.Cancelling {
 		if len(j.places) > 0 {
-			j.Rec.Status = Claimed
+			j.Rec.Status = record.Claimed
 		} else {
-			j.Rec.Status = Queued
+			j.Rec.Status = record.Queued
 		}
 	}
 	if j.urgent {
@@ -194,10 +197,10 @@
 
 // cancel stops everything of a job whose user was, or is about to be, told.
 func (b *ClusterState) cancel(j *Job) {
-	if j.cancelled() || j.Rec.Status == Done {
+	if j.cancelled() || j.Rec.Status == record.Done {
 		return
 	}
-	j.Rec.Status = Cancelling
+	j.Rec.Status = record.Cancelling
 	b.note(j, "cancelled by its user; %d tasks to stop", len(j.places))
 	for _, i := range sortedTasks(j.places) {
 		b.stop(j.places[i], 0, "cancelled")
@@ -210,8 +213,8 @@
 func (b *ClusterState) finishIfOver(j *Job) {
 	switch {
 	case j.Rec.Status.Over():
-	case j.left() == 0 && j.Rec.Status != Cancelling:
-		j.Rec.Status = Done
+	case j.left() == 0 && j.Rec.Status != record.Cancelling:
+		j.Rec.Status = record.Done
 		b.note(j, "done")
 		for _, i := range sortedTasks(j.places) {
 			if p := j.places[i]; p.sent {
@@ -222,8 +225,8 @@
 			}
 		}
 		b.touch(j)
-	case j.Rec.Status == Cancelling && len(j.places) == 0:
-		j.Rec.Status = Cancelled
+	case j.Rec.Status == record.Cancelling && len(j.places) == 0:
+		j.Rec.Status = record.Cancelled
 		b.note(j, "all tasks gone")
 		b.touch(j)
 	}
--- a/internal/claim/cluster_state_test.go
+++ b/internal/claim/cluster_state_test.go
@@ -10,6 +10,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
 	"github.com/pebbletrail/pebbletrail/internal/quota"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
@@ -43,8 +44,8 @@
 	return b.Observe(&worker.Report{Machine: name, Addr: string(name) + ":1", Type: "small", Zone: zone, Session: 1, Tick: tick, Token: 7, Pieces: pieces}, true, true)
 }
 
-func rec(id ids.Job, team string, p Priority, tasks int, cores float64) *Record {
-	return NewRecord(Spec{ID: id, Class: "c", Team: team, Shape: Array, Priority: p, Tasks: tasks, Estimate: 10,
+func rec(id ids.Job, team string, p record.Priority, tasks int, cores float64) *record.Record {
+	return record.New(record.Spec{ID: id, Class: "c", Team: team, Shape: record.Array, Priority: p, Tasks: tasks, Estimate: 10,
 		Need: placement.Room{Cores: cores, RAM: 1}, Image: "i", ImageGB: 1}, ids.WallOf(time.Now()), "user")
 }
 
@@ -58,14 +59,14 @@
 
 func TestTheTransitionTableHasNoWayOutOfAnEnd(t *testing.T) {
 	t.Parallel()
-	for _, from := range []Status{Queued, Claimed, Cancelling, Cancelled, Done} {
-		for _, to := range []Status{Queued, Claimed, Cancelling, Cancelled, Done} {
+	for _, from := range []record.Status{record.Queued, record.Claimed, record.Cancelling, record.Cancelled, record.Done} {
+		for _, to := range []record.Status{record.Queued, record.Claimed, record.Cancelling, record.Cancelled, record.Done} {
 			if from.Over() && from.May(to) {
 				t.Errorf("%s may become %s", from, to)
 			}
 		}
 	}
-	if Cancelling.May(Done) || !Claimed.May(Cancelling) || !Queued.May(Cancelled) {
+	if record.Cancelling.May(record.Done) || !record.Claimed.May(record.Cancelling) || !record.Queued.May(record.Cancelled) {
 		t.Error("the table is not the one meant")
 	}
 }
@@ -73,7 +74,7 @@
 func TestRecordsStaySmallAndReadBack(t *testing.T) {
 	t.Parallel()
 	b := testBook()
-	r := rec("job-1", "red", Low, 100000, 1)
+	r := rec("job-1", "red", record.Low, 100000, 1)
 	j := b.addJob(r, 1, time.Now())
 	for i := range 99000 {
 		if i%40 != 0 || i > 1000 {
@@ -89,7 +90,7 @@
 	if !ok {
 		t.Fatal("does not fit")
 	}
-	back, err := Decode(raw)
+	back, err := record.Decode(raw)
 	if err != nil || back.Open() != b.openLimit(j) || back.Finished.Len() != j.Rec.Finished.Len() {
 		t.Fatalf("%v; %d open, %d finished", err, back.Open(), back.Finished.Len())
 	}
@@ -100,14 +101,14 @@
 	now := time.Now()
 	b := testBook()
 	b.hear("m1", "north", 1)
-	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 4, 1), now)
+	b.Learn("job-1", 1, rec("job-1", "blue", record.Normal, 4, 1), now)
 	b.Plan(now)
 	b.store()
 	if len(b.placesOn("m1")) != 4 {
 		t.Fatal("not placed")
 	}
 	// Same priority, beyond its guarantee: waits.
-	b.Learn("job-2", 2, rec("job-2", "red", Normal, 5, 1), now)
+	b.Learn("job-2", 2, rec("job-2", "red", record.Normal, 5, 1), now)
 	b.Plan(now)
 	for p := range b.placesOn("m1") {
 		if p.stopping {
@@ -115,7 +116,7 @@
 		}
 	}
 	// Critical work displaces what is lower, and only as much as it needs.
-	b.Learn("job-3", 3, rec("job-3", "red", Critical, 1, 2), now)
+	b.Learn("job-3", 3, rec("job-3", "red", record.Critical, 1, 2), now)
 	b.Plan(now)
 	stopped := 0
 	for p := range b.placesOn("m1") {
@@ -135,7 +136,7 @@
 	t.Parallel()
 	now := time.Now()
 	b := testBook()
-	large, small := rec("job-1", "blue", Normal, 60, 1), rec("job-2", "blue", Normal, 5, 1)
+	large, small := rec("job-1", "blue", record.Normal, 60, 1), rec("job-2", "blue", record.Normal, 5, 1)
 	large.Submitted = ids.WallOf(now.Add(-time.Second))
 	b.Learn("job-1", 1, large, now)
 	b.Learn("job-2", 2, small, now)
@@ -152,7 +153,7 @@
 	t.Parallel()
 	now := time.Now()
 	b := testBook()
-	low, high := rec("job-1", "blue", Low, 60, 1), rec("job-2", "blue", High, 60, 1)
+	low, high := rec("job-1", "blue", record.Low, 60, 1), rec("job-2", "blue", record.High, 60, 1)
 	low.Submitted, low.Attempt = ids.WallOf(now.Add(-time.Hour)), 1
 	b.Learn("job-1", 1, low, now)
 	b.Learn("job-2", 2, high, now)
@@ -170,7 +171,7 @@
 	t.Parallel()
 	now := time.Now()
 	b := testBook()
-	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 1, 1), now)
+	b.Learn("job-1", 1, rec("job-1", "blue", record.Normal, 1, 1), now)
 	fail := func(m ids.Machine, a ids.Attempt, tick ids.Tick) {
 		b.hear(m, "north", tick, worker.Piece{Task: "job-1/0", Attempt: a, Status: worker.Running})
 		b.hear(m, "north", tick+1, worker.Piece{Task: "job-1/0", Attempt: a, Status: worker.Ended, Cause: worker.CauseError})
@@ -189,7 +190,7 @@
 	// Jobs that fail on one machine and complete on another condemn it.
 	for n := range 2 {
 		id := ids.Job(fmt.Sprint("job-10", n))
-		b.Learn(id, ids.Revision(n+5), rec(id, "blue", Normal, 1, 1), now)
+		b.Learn(id, ids.Revision(n+5), rec(id, "blue", record.Normal, 1, 1), now)
 		b.hear("bad", "north", ids.Tick(2*n+1), worker.Piece{Task: string(id) + "/0", Attempt: 1, Status: worker.Running})
 		b.hear("bad", "north", ids.Tick(2*n+2), worker.Piece{Task: string(id) + "/0", Attempt: 1, Status: worker.Ended, Cause: worker.CauseError})
 		if b.roster.Machines["bad"].Draining != "" {
@@ -211,7 +212,7 @@
 	now := time.Now()
 	b := testBook()
 	b.hear("m1", "north", 1)
-	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 1, 1), now)
+	b.Learn("job-1", 1, rec("job-1", "blue", record.Normal, 1, 1), now)
 	b.Plan(now)
 	b.store()
 	m := b.roster.Machines["m1"]
@@ -273,7 +274,7 @@
 	for i := range 20 {
 		b.hear(ids.Machine(fmt.Sprint("m", i)), "north", 1)
 	}
-	b.Learn("job-1", 1, rec("job-1", "red", Normal, 60, 1), now)
+	b.Learn("job-1", 1, rec("job-1", "red", record.Normal, 60, 1), now)
 	b.Plan(now)
 	b.Plan(now)
 	if n := len(b.jobs["job-1"].places); n != 40 {
@@ -288,10 +289,10 @@
 	for i := range 20 {
 		b.hear(ids.Machine(fmt.Sprint("m", i)), "north", 1)
 	}
-	b.Learn("job-1", 1, rec("job-1", "red", Normal, 60, 1), now)
+	b.Learn("job-1", 1, rec("job-1", "red", record.Normal, 60, 1), now)
 	b.Plan(now)
 	b.store()
-	b.Learn("job-2", 2, rec("job-2", "red", Critical, 1, 2), now)
+	b.Learn("job-2", 2, rec("job-2", "red", record.Critical, 1, 2), now)
 	b.Plan(now)
 	b.Plan(now)
 	stopping := 0
@@ -312,15 +313,15 @@
 	b.hear("warm", "north", 1)
 	b.hear("cold", "north", 1)
 	b.holdsNow(b.hostOf("warm"), b.roster.Machines["warm"], "svc", 5, 20)
-	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 4, 1), now)
+	b.Learn("job-1", 1, rec("job-1", "blue", record.Normal, 4, 1), now)
 	b.holdsNow(b.hostOf("warm"), b.roster.Machines["warm"], "i", 1, 20) // so that the array goes there
 	b.Plan(now)
 	b.store()
 	if len(b.placesOn("warm")) != 4 {
 		t.Fatal("the array is elsewhere")
 	}
-	svc := rec("job-2", "blue", Critical, 1, 1)
-	svc.Spec.Shape, svc.Spec.Image, svc.Spec.ImageGB = Service, "svc", 5
+	svc := rec("job-2", "blue", record.Critical, 1, 1)
+	svc.Spec.Shape, svc.Spec.Image, svc.Spec.ImageGB = record.Service, "svc", 5
 	b.Learn("job-2", 2, svc, now)
 	b.Plan(now)
 	b.Plan(now.Add(30 * time.Millisecond)) // while the stop is under way it waits
@@ -340,7 +341,7 @@
 	for _, m := range []ids.Machine{"m1", "m2", "m3"} {
 		b.hear(m, "north", 1)
 	}
-	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 3, 4), now)
+	b.Learn("job-1", 1, rec("job-1", "blue", record.Normal, 3, 4), now)
 	b.Plan(now)
 	b.store()
 	for m := range b.roster.Machines {
@@ -350,7 +351,7 @@
 	}
 	for i := range 3 {
 		id := ids.Job(fmt.Sprint("job-2", i))
-		b.Learn(id, ids.Revision(i+2), rec(id, "blue", Critical, 1, 1), now)
+		b.Learn(id, ids.Revision(i+2), rec(id, "blue", record.Critical, 1, 1), now)
 	}
 	b.Plan(now) // each displaces a task of four cores for one core
 	for m := range b.roster.Machines {
@@ -362,7 +363,7 @@
 	}
 	for i := range 9 {
 		id := ids.Job(fmt.Sprint("job-3", i))
-		b.Learn(id, ids.Revision(i+9), rec(id, "blue", Critical, 1, 1), now)
+		b.Learn(id, ids.Revision(i+9), rec(id, "blue", record.Critical, 1, 1), now)
 	}
 	b.Plan(now.Add(50 * time.Millisecond))
 	n := 0
@@ -379,7 +380,7 @@
 func TestCriticalWorkWaitsForASaveOnlyIfMuchWouldBeLost(t *testing.T) {
 	t.Parallel()
 	now := time.Now()
-	j := &Job{Rec: *rec("job-1", "blue", Low, 1, 4)}
+	j := &Job{Rec: *rec("job-1", "blue", record.Low, 1, 4)}
 	j.Rec.Spec.Checkpoint, j.Rec.Spec.Save = 60, 5
 	for ran, want := range map[time.Duration]bool{2 * time.Second: true, 40 * time.Second: false, 65 * time.Second: true} {
 		p := &Place{Job: j, ranSince: now.Add(-ran)}
@@ -396,9 +397,9 @@
 	b.hear("warm", "north", 1)
 	b.hear("cold", "north", 1)
 	b.holdsNow(b.hostOf("warm"), b.roster.Machines["warm"], "svc", 5, 20)
-	svc := func(id ids.Job, team string, tasks int) *Record {
-		r := rec(id, team, Critical, tasks, 1)
-		r.Spec.Shape, r.Spec.Image, r.Spec.ImageGB = Service, "svc", 5
+	svc := func(id ids.Job, team string, tasks int) *record.Record {
+		r := rec(id, team, record.Critical, tasks, 1)
+		r.Spec.Shape, r.Spec.Image, r.Spec.ImageGB = record.Service, "svc", 5
 		return r
 	}
 	// red runs more than its guarantee of four cores, blue nothing yet.
@@ -422,7 +423,7 @@
 	now := time.Now()
 	b := testBook()
 	one := func(id ids.Job, cores float64) {
-		b.Learn(id, 1, rec(id, "blue", Normal, 1, cores), now)
+		b.Learn(id, 1, rec(id, "blue", record.Normal, 1, cores), now)
 		b.Plan(now)
 	}
 	for i := range 60 {
@@ -443,7 +444,7 @@
 	for i := range 5 {
 		b.hear(ids.Machine(fmt.Sprintf("cold%d", i)), "north", 1)
 	}
-	r := rec("job-200", "blue", Normal, 1, 1)
+	r := rec("job-200", "blue", record.Normal, 1, 1)
 	r.Spec.Image = "other"
 	b.Learn("job-200", 1, r, now)
 	b.Plan(now)
@@ -461,7 +462,7 @@
 	for i := range 6 {
 		b.hear(ids.Machine(fmt.Sprint("m", i)), "north", 1)
 	}
-	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 1, 1), now)
+	b.Learn("job-1", 1, rec("job-1", "blue", record.Normal, 1, 1), now)
 	b.Plan(now)
 	for _, j := range b.jobs {
 		j.saved = j.version
@@ -473,7 +474,7 @@
 	at := bas[0].machine
 	b.answered(bas[0], worker.Uncertain)
 	b.hear(at, "north", 2)
-	b.Learn("job-2", 2, rec("job-2", "blue", Normal, 12, 1), now)
+	b.Learn("job-2", 2, rec("job-2", "blue", record.Normal, 12, 1), now)
 	b.Plan(now)
 	if n := len(b.placesOn(at)); n != 1 {
 		t.Fatalf("%d tasks on a machine that does not answer, not only the uncertain one", n)
@@ -517,8 +518,8 @@
 	b.hear("warm", "north", 1)
 	b.hear("cold", "north", 1)
 	b.holdsNow(b.hostOf("warm"), b.roster.Machines["warm"], "i", 1, 20)
-	r := rec("job-1", "blue", High, 2, 3)
-	r.Spec.Shape = Gang
+	r := rec("job-1", "blue", record.High, 2, 3)
+	r.Spec.Shape = record.Gang
 	b.Learn("job-1", 1, r, now)
 	b.Plan(now)
 	for _, j := range b.jobs {
@@ -618,8 +619,8 @@
 	b.hear("m1", "north", 1)
 	b.holdsNow(b.hostOf("m1"), b.roster.Machines["m1"], "held", 8, 20)
 	for id, image := range map[ids.Job]string{"job-1": "other", "job-2": "held"} {
-		r := rec(id, "blue", High, 1, 4)
-		r.Spec.Shape, r.Spec.Image, r.Spec.ImageGB = Gang, image, 8
+		r := rec(id, "blue", record.High, 1, 4)
+		r.Spec.Shape, r.Spec.Image, r.Spec.ImageGB = record.Gang, image, 8
 		b.Learn(id, 1, r, now)
 	}
 	b.Plan(now)
@@ -636,10 +637,10 @@
 	for i := range 8 {
 		b.hear(ids.Machine(fmt.Sprint("m", i)), "north", 1)
 	}
-	svc := rec("job-1", "blue", Critical, 1, 4)
-	svc.Spec.Shape = Service
+	svc := rec("job-1", "blue", record.Critical, 1, 4)
+	svc.Spec.Shape = record.Service
 	b.Learn("job-1", 1, svc, now)
-	b.Learn("job-2", 2, rec("job-2", "blue", Normal, 1, 4), now)
+	b.Learn("job-2", 2, rec("job-2", "blue", record.Normal, 1, 4), now)
 	b.Plan(now)
 	b.store()
 	with, without := b.jobs["job-1"].places[0].Machine, b.jobs["job-2"].places[0].Machine
@@ -678,7 +679,7 @@
 	now := time.Now()
 	b := testBook()
 	b.hear("m1", "north", 1)
-	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 2, 1), now)
+	b.Learn("job-1", 1, rec("job-1", "blue", record.Normal, 2, 1), now)
 	b.Plan(now)
 	c := &Committer{Cluster: b, State: state.NewClient("s", nil, state.NewBudget(100, 100, 1, 0.6))}
 	store := func() int {
@@ -708,11 +709,11 @@
 	t.Parallel()
 	now := time.Now()
 	b := fleet(t, 100)
-	limit := b.openLimit(&Job{Rec: *rec("job-2", "blue", Normal, 200, 1)}) // it follows from what the description leaves
-	gang := rec("job-1", "blue", High, limit+1, 1)
-	gang.Spec.Shape = Gang
+	limit := b.openLimit(&Job{Rec: *rec("job-2", "blue", record.Normal, 200, 1)}) // it follows from what the description leaves
+	gang := rec("job-1", "blue", record.High, limit+1, 1)
+	gang.Spec.Shape = record.Gang
 	b.Learn("job-1", 1, gang, now)
-	b.Learn("job-2", 2, rec("job-2", "blue", Normal, limit+50, 1), now)
+	b.Learn("job-2", 2, rec("job-2", "blue", record.Normal, limit+50, 1), now)
 	b.Plan(now)
 	b.Plan(now)
 	if j := b.jobs["job-1"]; len(j.places) != 0 || !strings.Contains(j.waiting, "record") {
@@ -736,20 +737,20 @@
 	// records, and was taken for a user's write, which places nothing.
 	t.Parallel()
 	now := time.Now()
-	marked := func(gen ids.Generation) *Record {
-		r := rec("job-1", "red", Normal, 2, 1)
-		r.Status, r.Attempt, r.Gen, r.Writer = Claimed, 1, gen, "a.1/6"
-		r.Places = []placeRec{{Token: gen, Session: 1, Attempt: 1, Prefix: "m1", On: ":0-1"}}
+	marked := func(gen ids.Generation) *record.Record {
+		r := rec("job-1", "red", record.Normal, 2, 1)
+		r.Status, r.Attempt, r.Gen, r.Writer = record.Claimed, 1, gen, "a.1/6"
+		r.Places = []record.PlaceGroup{{Token: gen, Session: 1, Attempt: 1, Prefix: "m1", On: ":0-1"}}
 		return r
 	}
 	for name, listed := range map[string]ids.Revision{"the list is as new": 26, "the list is older": 25, "not in the list": 0, "newer": 27} {
 		b := testBook()
-		b.Learn("job-1", 25, rec("job-1", "red", Normal, 2, 1), now)
+		b.Learn("job-1", 25, rec("job-1", "red", record.Normal, 2, 1), now)
 		b.Learn("job-1", 26, marked(6), now)
-		recs, stamps := map[ids.Job]*Record{}, map[ids.Job]ids.Revision{}
+		recs, stamps := map[ids.Job]*record.Record{}, map[ids.Job]ids.Revision{}
 		switch listed {
 		case 25:
-			recs["job-1"], stamps["job-1"] = rec("job-1", "red", Normal, 2, 1), 25
+			recs["job-1"], stamps["job-1"] = rec("job-1", "red", record.Normal, 2, 1), 25
 		case 26, 27:
 			recs["job-1"], stamps["job-1"] = marked(6), listed
 		}
@@ -762,7 +763,7 @@
 	b := testBook()
 	b.Learn("job-1", 26, marked(6), now)
 	b.Learn("job-1", 27, nil, now)
-	b.Load(map[ids.Job]*Record{}, map[ids.Job]ids.Revision{}, 27, now)
+	b.Load(map[ids.Job]*record.Record{}, map[ids.Job]ids.Revision{}, 27, now)
 	if len(b.jobs) != 0 || b.quota.Used("red").Cores != 0 {
 		t.Errorf("%d jobs, %v cores of an ended job", len(b.jobs), b.quota.Used("red").Cores)
 	}
--- a/internal/claim/collect.go
+++ b/internal/claim/collect.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -106,32 +107,32 @@
 	}
 	id := j.Rec.Spec.ID
 	// A cancellation stored apart from the record must not be passed over either.
-	cancellation := state.Condition{Key: CancelKey(id), Revision: b.cancellations[id]}
-	p.conds = []state.Condition{{Key: JobKey(id), Revision: j.stamp}, cancellation}
+	cancellation := state.Condition{Key: record.CancelKey(id), Revision: b.cancellations[id]}
+	p.conds = []state.Condition{{Key: record.JobKey(id), Revision: j.stamp}, cancellation}
 	p.size = len(raw) + changeBytes
 	if !p.over {
-		p.ops = []state.Op{{Put: JobKey(id), Value: raw}}
+		p.ops = []state.Op{{Put: record.JobKey(id), Value: raw}}
 		return p, true
 	}
-	p.conds = append(p.conds, state.Condition{Key: EndKey(id)})
-	p.ops = []state.Op{{Remove: JobKey(id)}, {Put: EndKey(id), Value: raw}}
+	p.conds = append(p.conds, state.Condition{Key: record.EndKey(id)})
+	p.ops = []state.Op{{Remove: record.JobKey(id)}, {Put: record.EndKey(id), Value: raw}}
 	if cancellation.Revision > 0 {
-		p.ops = append(p.ops, state.Op{Remove: CancelKey(id)})
+		p.ops = append(p.ops, state.Op{Remove: record.CancelKey(id)})
 	}
 	return p, true
 }
 
 // measured notes what a record's places took of it, and what the rest that can't give way did.
-func (j *Job) measured(places []placeRec, size int) {
+func (j *Job) measured(places []record.PlaceGroup, size int) {
 	if n := len(j.places); n > 0 {
-		took := placesSize(places)
+		took := record.PlacesSize(places)
 		j.width.places, j.width.rest = float64(took)/float64(n), size-took
 	}
 }
 
 // yielding is about how many bytes the trail would give up for places: all but the
 // last lines.
-func yielding(trail []Event) (n int) {
+func yielding(trail []record.Event) (n int) {
 	for i := range trail[:max(0, len(trail)-2)] {
 		n += len(trail[i].What) + 35
 	}
--- a/internal/claim/commit.go
+++ b/internal/claim/commit.go
@@ -9,6 +9,7 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/measure"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -27,7 +28,7 @@
 	Cluster  *ClusterState
 	State    *state.Client
 	Node     ids.Node
-	Keys     ShardKeys
+	Keys     record.ShardKeys
 	GenStamp ids.Revision
 	// OnLost is called once another leader is known to have taken over.
 	OnLost func(why string)
@@ -50,8 +51,8 @@
 
 type pending struct {
 	job     *Job
-	wait    *waiting // instead of a job: one that waits moves on
-	moved   *Record  // what it becomes
+	wait    *waiting       // instead of a job: one that waits moves on
+	moved   *record.Record // what it becomes
 	version uint64
 	over    bool
 	ops     []state.Op
--- a/internal/claim/drain.go
+++ b/internal/claim/drain.go
@@ -6,6 +6,7 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -55,7 +56,7 @@
 		return
 	}
 	for p := range b.placesOn(m.Name) {
-		if p.Job.Rec.Spec.Shape != Service || p.stopping || p.status != worker.Running || now.Sub(p.ranSince) < settledFor {
+		if p.Job.Rec.Spec.Shape != record.Service || p.stopping || p.status != worker.Running || now.Sub(p.ranSince) < settledFor {
 			continue
 		}
 		ask := p.Job.Rec.Spec.Ask()
@@ -84,7 +85,7 @@
 // finishes guesses whether a task completes within d.
 func (p *Place) finishes(d time.Duration, now time.Time) bool {
 	s := &p.Job.Rec.Spec
-	if s.Shape == Service || p.ranSince.IsZero() {
+	if s.Shape == record.Service || p.ranSince.IsZero() {
 		return false
 	}
 	return p.ranSince.Add(s.Estimate.Duration()).Before(now.Add(d))
--- a/internal/claim/failing_jobs.go
+++ b/internal/claim/failing_jobs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -44,7 +45,7 @@
 
 // rests tells that a failing job is not to be tried now.
 func (j *Job) rests(now time.Time) bool {
-	return j.failing() && (now.Before(j.failed.at) || j.Rec.Spec.Shape != Gang && len(j.places) > 0)
+	return j.failing() && (now.Before(j.failed.at) || j.Rec.Spec.Shape != record.Gang && len(j.places) > 0)
 }
 
 // whyRests tells its user and operators so.
--- a/internal/claim/failing_jobs_test.go
+++ b/internal/claim/failing_jobs_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -43,9 +44,9 @@
 	// for, and all of its tasks were tried again and again.
 	synctest.Test(t, func(t *testing.T) {
 		b := fleet(t, 30)
-		bad := rec("job-1", "blue", High, 60, 1)
+		bad := rec("job-1", "blue", record.High, 60, 1)
 		b.Learn("job-1", 1, bad, time.Now())
-		good := rec("job-2", "blue", Normal, 60, 1)
+		good := rec("job-2", "blue", record.Normal, 60, 1)
 		good.Spec.Class = "g"
 		b.Learn("job-2", 1, good, time.Now())
 		starts, most := 0, 0
@@ -104,7 +105,7 @@
 			t.Errorf("a new owner starts %d tasks of it", n)
 		}
 		// A cancel ends it at once.
-		b.Learn("job-1", 99, &Record{Spec: bad.Spec, Status: Cancelling, Writer: "user"}, time.Now())
+		b.Learn("job-1", 99, &record.Record{Spec: bad.Spec, Status: record.Cancelling, Writer: "user"}, time.Now())
 		for _, p := range b.jobs["job-1"].places {
 			if !p.stopping {
 				t.Error("a task goes on after the cancel")
@@ -117,7 +118,7 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		b := fleet(t, 4)
-		b.Learn("job-1", 1, rec("job-1", "blue", Normal, 8, 1), time.Now())
+		b.Learn("job-1", 1, rec("job-1", "blue", record.Normal, 8, 1), time.Now())
 		var bad ids.Machine
 		for tick := ids.Tick(2); tick < 30; tick++ {
 			b.Plan(time.Now())
@@ -133,7 +134,7 @@
 			})
 			time.Sleep(time.Second)
 		}
-		if s := b.jobs["job-1"].Rec.Status; s != Done {
+		if s := b.jobs["job-1"].Rec.Status; s != record.Done {
 			t.Errorf("half a minute later it is %s: %v", s, b.Explain("job-1"))
 		}
 		if b.roster.Machines[bad].Draining == "" {
@@ -148,8 +149,8 @@
 	// must not count as failing for ever.
 	synctest.Test(t, func(t *testing.T) {
 		b := fleet(t, 8)
-		r := rec("job-1", "blue", Critical, 2, 1)
-		r.Spec.Shape = Service
+		r := rec("job-1", "blue", record.Critical, 2, 1)
+		r.Spec.Shape = record.Service
 		b.Learn("job-1", 1, r, time.Now())
 		failed := map[ids.Machine]bool{}
 		for tick := ids.Tick(2); tick < 120; tick++ {
@@ -177,7 +178,7 @@
 	// under way at a time, were not done in seven minutes.
 	synctest.Test(t, func(t *testing.T) {
 		b := fleet(t, 200)
-		r := rec("job-1", "blue", Low, 25000, 0.25)
+		r := rec("job-1", "blue", record.Low, 25000, 0.25)
 		r.Spec.Need.RAM = 0.9
 		b.Learn("job-1", 1, r, time.Now())
 		j := b.jobs["job-1"]
@@ -290,7 +291,7 @@
 		if late, _ := b.late(m, time.Now()); !late {
 			t.Errorf("rented %v ago, with boots of 30 s, it is not late", time.Since(m.HeldSince))
 		}
-		b.Learn("job-1", 1, rec("job-1", "blue", Normal, 40, 1), time.Now())
+		b.Learn("job-1", 1, rec("job-1", "blue", record.Normal, 40, 1), time.Now())
 		b.Plan(time.Now())
 		if lines := fmt.Sprint(b.Explain("job-1")); !strings.Contains(lines, "1 machines it could use are booting, 1 of them late") {
 			t.Errorf("explained as %s", lines)
@@ -310,19 +311,19 @@
 		places[i*7%1000] = &Place{Index: i * 7 % 1000, Machine: ids.Machine(fmt.Sprintf("host-%d", i%37)), Session: ids.Session(1 + i%11/10),
 			Attempt: ids.Attempt(1 + i%5/3*i), Token: ids.Generation(3 + i%100/97)}
 	}
-	r := &Record{Places: packPlaces(places)}
+	r := &record.Record{Places: packPlaces(places)}
 	raw, ok := r.Encode(1 << 20)
 	if !ok {
 		t.Fatal("not encoded")
 	}
-	back, err := Decode(raw)
+	back, err := record.Decode(raw)
 	if err != nil {
 		t.Fatal(err)
 	}
 	n := 0
-	back.eachPlace(func(i int, at spot) {
+	back.EachPlace(func(i int, at record.Location) {
 		n++
-		if p := places[i]; p == nil || at != (spot{p.Machine, p.Session, p.Attempt, p.Token}) {
+		if p := places[i]; p == nil || at != (record.Location{Machine: p.Machine, Session: p.Session, Attempt: p.Attempt, Token: p.Token}) {
 			t.Errorf("task %d is read back as %v", i, at)
 		}
 	})
--- a/internal/claim/fairness_test.go
+++ b/internal/claim/fairness_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -22,7 +23,7 @@
 		tick, ended := ids.Tick(1), map[taskAttempt]bool{}
 		begun := map[ids.Job]time.Duration{}
 		large := map[ids.Job]time.Time{}
-		add := func(id ids.Job, team string, p Priority, tasks int, cores float64, est ids.Seconds) {
+		add := func(id ids.Job, team string, p record.Priority, tasks int, cores float64, est ids.Seconds) {
 			r := rec(id, team, p, tasks, cores)
 			r.Spec.Estimate = est
 			b.Learn(id, ids.Revision(len(b.gone)+len(b.jobs)+1), r, time.Now())
@@ -30,9 +31,9 @@
 		for second := range 420 {
 			if second == 30 {
 				for id, f := range map[ids.Job]func(ids.Job){
-					"job-90001": func(id ids.Job) { add(id, "blue", Normal, 700, 1, 60) },
-					"job-90002": func(id ids.Job) { add(id, "blue", Low, 150, 4, 180) },
-					"job-90003": func(id ids.Job) { add(id, "red", Low, 2, 4, 300) },
+					"job-90001": func(id ids.Job) { add(id, "blue", record.Normal, 700, 1, 60) },
+					"job-90002": func(id ids.Job) { add(id, "blue", record.Low, 150, 4, 180) },
+					"job-90003": func(id ids.Job) { add(id, "red", record.Low, 2, 4, 300) },
 				} {
 					f(id)
 					large[id] = time.Now()
@@ -40,7 +41,7 @@
 			}
 			// Half as much again as ten machines of four cores can do.
 			for i := range 3 {
-				add(ids.Job(fmt.Sprintf("job-%d", second*3+i)), "blue", Normal, 2, 1, 10)
+				add(ids.Job(fmt.Sprintf("job-%d", second*3+i)), "blue", record.Normal, 2, 1, 10)
 			}
 			b.Plan(time.Now())
 			b.store()
@@ -71,11 +72,11 @@
 	// set aside, as they come, while the largest job waits for one machine for ever.
 	now := time.Now()
 	b := fleet(t, 4)
-	large := rec("job-1", "blue", Low, 150, 4)
+	large := rec("job-1", "blue", record.Low, 150, 4)
 	large.Submitted = ids.WallOf(now.Add(-3 * time.Minute))
 	b.Learn("job-1", 1, large, now)
 	for i := range 20 {
-		small := rec(ids.Job(fmt.Sprintf("job-%d", 10+i)), "red", Normal, 1, 1)
+		small := rec(ids.Job(fmt.Sprintf("job-%d", 10+i)), "red", record.Normal, 1, 1)
 		small.Submitted = ids.WallOf(now.Add(-2 * time.Minute))
 		b.Learn(small.Spec.ID, ids.Revision(10+i), small, now)
 	}
@@ -91,7 +92,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := fleet(t, 1)
 		b.setTeams(config.Team{Name: "red", CPUs: 4}, config.Team{Name: "blue"})
-		b.Learn("job-1", 1, rec("job-1", "blue", Low, 1, 4), time.Now())
+		b.Learn("job-1", 1, rec("job-1", "blue", record.Low, 1, 4), time.Now())
 		b.jobs["job-1"].aside = time.Now() // machines were looked for to set aside
 		b.Plan(time.Now())
 		place := b.jobs["job-1"].places[0]
@@ -99,7 +100,7 @@
 			t.Fatal("it did not begin")
 		}
 		b.store()
-		b.Learn("job-2", 2, rec("job-2", "red", Normal, 1, 4), time.Now())
+		b.Learn("job-2", 2, rec("job-2", "red", record.Normal, 1, 4), time.Now())
 		b.Plan(time.Now())
 		if place.stopping {
 			t.Error("it is stopped at once for a guarantee")
@@ -120,7 +121,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := fleet(t, 10)
 		tick, ended := ids.Tick(1), map[taskAttempt]bool{}
-		b.Learn("job-90001", 1, rec("job-90001", "blue", Low, 150, 4), time.Now())
+		b.Learn("job-90001", 1, rec("job-90001", "blue", record.Low, 150, 4), time.Now())
 		b.Plan(time.Now())
 		large := b.jobs["job-90001"]
 		b.store()
@@ -142,7 +143,7 @@
 			}
 			for i := range jobs {
 				id := ids.Job(fmt.Sprintf("job-%d", second*100+i))
-				b.Learn(id, ids.Revision(second*100+i+2), rec(id, "blue", Normal, 2, 1), time.Now())
+				b.Learn(id, ids.Revision(second*100+i+2), rec(id, "blue", record.Normal, 2, 1), time.Now())
 			}
 			b.Plan(time.Now())
 			b.store()
@@ -198,11 +199,11 @@
 		n, begun := 0, map[string]time.Duration{}
 		last := map[string]time.Time{} // when a class or team last submitted
 		jobs := map[ids.Job]string{}
-		add := func(what string, team int, shape Shape, p Priority, tasks int, cores float64) {
+		add := func(what string, team int, shape record.Shape, p record.Priority, tasks int, cores float64) {
 			n++
 			r := rec(ids.Job(fmt.Sprint("job-", n)), fmt.Sprint("team-", team), p, tasks, cores)
 			r.Spec.Shape, r.Spec.Class, r.Spec.Image = shape, what, "image-"+what
-			if shape == Service {
+			if shape == record.Service {
 				r.Spec.Estimate = 0
 			}
 			b.Learn(r.Spec.ID, ids.Revision(n), r, time.Now())
@@ -219,7 +220,7 @@
 			time.Sleep(time.Second)
 		}
 		for i := range 40 {
-			add("array", i%10, Array, Normal, 6, 1)
+			add("array", i%10, record.Array, record.Normal, 6, 1)
 		}
 		for second := range 20 {
 			pass(second)
@@ -228,16 +229,16 @@
 			b.MachineGone(ids.Machine(fmt.Sprintf("host-%06d", i)))
 		}
 		clear(begun)
-		add("largest array", 0, Array, Low, 150, 4)
-		add("largest gang", 1, Gang, High, 10, 4)
+		add("largest array", 0, record.Array, record.Low, 150, 4)
+		add("largest gang", 1, record.Gang, record.High, 10, 4)
 		for second := range 120 + 240 { // the last of each has its four minutes too
 			if second < 120 {
 				for i := range 10 {
-					add("array", i, Array, Normal, 3, 1)
+					add("array", i, record.Array, record.Normal, 3, 1)
 				}
 				if second%10 == 0 {
-					add("service", second/10%10, Service, Critical, 2, 1)
-					add("low", second/10%10, Array, Low, 4, 2)
+					add("service", second/10%10, record.Service, record.Critical, 2, 1)
+					add("low", second/10%10, record.Array, record.Low, 4, 2)
 				}
 			}
 			pass(20 + second)
@@ -271,8 +272,8 @@
 		b := fleet(t, 8) // four in each zone
 		b.set.Params.Teams[1].CPUs = 0
 		gang := func(id ids.Job, tasks int) {
-			r := rec(id, "blue", High, tasks, 4)
-			r.Spec.Shape, r.Spec.OneZone, r.Spec.Estimate = Gang, true, 100
+			r := rec(id, "blue", record.High, tasks, 4)
+			r.Spec.Shape, r.Spec.OneZone, r.Spec.Estimate = record.Gang, true, 100
 			b.Learn(id, 1, r, time.Now())
 		}
 		began, submitted := time.Duration(0), time.Now()
--- a/internal/claim/fleet_test.go
+++ b/internal/claim/fleet_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/fake"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -62,7 +63,7 @@
 			now := time.Now()
 			for i := range 2 * 4 * each / 100 {
 				id := ids.Job(fmt.Sprint("job-", i))
-				b.Learn(id, ids.Revision(i+1), rec(id, "blue", Normal, 100, 1), now)
+				b.Learn(id, ids.Revision(i+1), rec(id, "blue", record.Normal, 100, 1), now)
 			}
 			b.Plan(now)
 			for _, j := range b.jobs {
@@ -107,8 +108,8 @@
 	// and again the same ones, while one with a replica waits.
 	b := fleet(t, 300)
 	now := time.Now()
-	svc := rec("job-1", "blue", Critical, 1, 1)
-	svc.Spec.Shape = Service
+	svc := rec("job-1", "blue", record.Critical, 1, 1)
+	svc.Spec.Shape = record.Service
 	b.Learn("job-1", 1, svc, now)
 	b.Plan(now)
 	with := b.jobs["job-1"].places[0].Machine
@@ -136,7 +137,7 @@
 	now := time.Now()
 	b := testBook()
 	b.hear("m1", "north", 1)
-	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 1, 1), now)
+	b.Learn("job-1", 1, rec("job-1", "blue", record.Normal, 1, 1), now)
 	b.Plan(now)
 	j := b.jobs["job-1"]
 	b.probed("m1", false)
@@ -180,8 +181,8 @@
 	for i := range 40 {
 		b.hear(ids.Machine(fmt.Sprintf("m%02d", i)), zone(i), 1)
 	}
-	svc := rec("job-1", "blue", Critical, 20, 2)
-	svc.Spec.Shape = Service
+	svc := rec("job-1", "blue", record.Critical, 20, 2)
+	svc.Spec.Shape = record.Service
 	b.Learn("job-1", 1, svc, start)
 	b.Plan(start)
 	heard := func(name string, ago time.Duration) {
@@ -243,14 +244,14 @@
 		b.hear(ids.Machine(fmt.Sprint("n", i)), "north", 1)
 	}
 	service := func(id ids.Job, tasks int, at map[int]string) {
-		r := rec(id, "blue", Critical, tasks, 1)
-		r.Spec.Shape, r.Spec.Spread, r.Status = Service, true, Claimed
+		r := rec(id, "blue", record.Critical, tasks, 1)
+		r.Spec.Shape, r.Spec.Spread, r.Status = record.Service, true, record.Claimed
 		places := map[int]*Place{}
 		for i, m := range at {
 			places[i] = &Place{Index: i, Machine: ids.Machine(m), Session: 1, Attempt: 1, Token: 3}
 		}
 		r.Places = packPlaces(places)
-		b.Load(map[ids.Job]*Record{id: r}, map[ids.Job]ids.Revision{id: 1}, 0, now)
+		b.Load(map[ids.Job]*record.Record{id: r}, map[ids.Job]ids.Revision{id: 1}, 0, now)
 	}
 	service("job-1", 5, map[int]string{0: "n0", 1: "n1", 2: "s0", 3: "s0", 4: "s1"}) // one may move
 	service("job-2", 4, map[int]string{0: "n2", 1: "n3", 2: "s2", 3: "s3"})          // none may
@@ -277,7 +278,7 @@
 	for i := range 4 {
 		b.hear(ids.Machine(fmt.Sprint("s", i)), "south", 1)
 	}
-	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 16, 1), now)
+	b.Learn("job-1", 1, rec("job-1", "blue", record.Normal, 16, 1), now)
 	b.Plan(now)
 	b.store()
 	for i := range 4 {
@@ -323,7 +324,7 @@
 	now := time.Now()
 	b := testBook()
 	b.hear("m1", "north", 1)
-	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 2, 1), now)
+	b.Learn("job-1", 1, rec("job-1", "blue", record.Normal, 2, 1), now)
 	b.Plan(now)
 	rep := &worker.Report{Machine: "m1", Addr: "m1:1", Type: "small", Zone: "north", Session: 2, Tick: 2, Token: 7}
 	b.Observe(rep, true, true)
--- a/internal/claim/gang.go
+++ b/internal/claim/gang.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -138,7 +139,7 @@
 // worker would take its start for one it knows.
 func (b *ClusterState) mayStart(p *Place, m *worker.Machine) bool {
 	j := p.Job
-	if j.Rec.Spec.Shape != Gang {
+	if j.Rec.Spec.Shape != record.Gang {
 		return true
 	}
 	for i := range m.Pieces {
--- a/internal/claim/hosts.go
+++ b/internal/claim/hosts.go
@@ -6,6 +6,7 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -25,7 +26,7 @@
 // pull is an image being fetched for some tasks of a machine.
 type pull struct {
 	tasks int
-	top   Priority // the highest that waits for it
+	top   record.Priority // the highest that waits for it
 }
 
 // kind is what all machines of a shelf have in common.
@@ -130,7 +131,7 @@
 func (b *ClusterState) put(h *host, p *Place) {
 	h.places[p] = true
 	h.used = h.used.Plus(p.Job.Rec.Spec.Need)
-	if p.Job.Rec.Spec.Shape != Service {
+	if p.Job.Rec.Spec.Shape != record.Service {
 		h.turn = h.turn.Plus(p.Job.Rec.Spec.Need)
 	} else {
 		h.stay++
@@ -146,7 +147,7 @@
 	b.arrived(h, p)
 	delete(h.places, p)
 	h.used = h.used.Minus(p.Job.Rec.Spec.Need)
-	if p.Job.Rec.Spec.Shape != Service {
+	if p.Job.Rec.Spec.Shape != record.Service {
 		h.turn = h.turn.Minus(p.Job.Rec.Spec.Need)
 	} else {
 		h.stay--
@@ -249,7 +250,7 @@
 	p.Holds = m.Images.Has(s.Image)
 	p.Warm = p.Holds || h.pulls[s.Image] != nil
 	for img, u := range h.pulls {
-		if u.top >= High && u.top > j.priority() && !m.Images.Has(img) {
+		if u.top >= record.High && u.top > j.priority() && !m.Images.Has(img) {
 			p.Hush = true
 		}
 		if m.Images.Has(img) {
--- a/internal/claim/inheritance_test.go
+++ b/internal/claim/inheritance_test.go
@@ -7,14 +7,15 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 )
 
 // diamond is a low job, two low ones that await it, and a high one that awaits both.
 func diamond(b *ClusterState, now time.Time) {
-	b.Learn("job-1", 1, rec("job-1", "red", Low, 1, 1), now)
-	b.LearnWaiting("job-2", 2, waits("job-2", Low, 0, "job-1"), now)
-	b.LearnWaiting("job-3", 3, waits("job-3", Low, 0, "job-1"), now)
-	b.LearnWaiting("job-4", 4, waits("job-4", High, 200, "job-2", "job-3"), now)
+	b.Learn("job-1", 1, rec("job-1", "red", record.Low, 1, 1), now)
+	b.LearnWaiting("job-2", 2, waits("job-2", record.Low, 0, "job-1"), now)
+	b.LearnWaiting("job-3", 3, waits("job-3", record.Low, 0, "job-1"), now)
+	b.LearnWaiting("job-4", 4, waits("job-4", record.High, 200, "job-2", "job-3"), now)
 }
 
 func TestUrgencyFlowsThroughADiamondAndOutAgain(t *testing.T) {
@@ -23,33 +24,33 @@
 	// it because the other does.
 	for name, c := range map[string]struct {
 		change        func(b *ClusterState, now time.Time)
-		first, branch Priority // of job-1 and job-3 afterwards
+		first, branch record.Priority // of job-1 and job-3 afterwards
 	}{
-		"nothing": {func(*ClusterState, time.Time) {}, High, High},
+		"nothing": {func(*ClusterState, time.Time) {}, record.High, record.High},
 		"the urgent one is cancelled at another node": {func(b *ClusterState, now time.Time) {
 			b.LearnWaiting("job-4", 9, nil, now)
-		}, Low, Low},
+		}, record.Low, record.Low},
 		"its end is read": {func(b *ClusterState, now time.Time) {
 			b.LearnWaiting("job-4", 9, nil, now)
-			b.finally("job-4", Cancelled)
-		}, Low, Low},
+			b.finally("job-4", record.Cancelled)
+		}, record.Low, record.Low},
 		"one branch is cancelled at another node, so the urgent one is": {func(b *ClusterState, now time.Time) {
 			b.LearnWaiting("job-2", 9, nil, now)
-			b.finally("job-2", Cancelled)
-		}, Low, Low},
+			b.finally("job-2", record.Cancelled)
+		}, record.Low, record.Low},
 		"one branch is done": {func(b *ClusterState, now time.Time) {
 			b.LearnWaiting("job-2", 9, nil, now)
-			b.finally("job-2", Done)
-		}, High, High},
+			b.finally("job-2", record.Done)
+		}, record.High, record.High},
 		"another urgent one needs one branch, the first goes": {func(b *ClusterState, now time.Time) {
-			b.LearnWaiting("job-5", 5, waits("job-5", High, 100, "job-3"), now)
+			b.LearnWaiting("job-5", 5, waits("job-5", record.High, 100, "job-3"), now)
 			b.LearnWaiting("job-4", 9, nil, now)
-		}, High, High},
+		}, record.High, record.High},
 		"the first is cancelled": {func(b *ClusterState, now time.Time) {
-			cancelled := rec("job-1", "red", Low, 1, 1)
-			cancelled.Status = Cancelling
+			cancelled := rec("job-1", "red", record.Low, 1, 1)
+			cancelled.Status = record.Cancelling
 			b.Learn("job-1", 9, cancelled, now)
-		}, Low, Low},
+		}, record.Low, record.Low},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -62,7 +63,7 @@
 				if got := first.priority(); got != c.first {
 					t.Errorf("the first has priority %s, not %s", got, c.first)
 				}
-				if got := Priority(b.pipes.graph.Inherited("job-3").Priority); got != c.branch {
+				if got := record.Priority(b.pipes.graph.Inherited("job-3").Priority); got != c.branch {
 					t.Errorf("the other branch inherits %s, not %s", got, c.branch)
 				}
 			})
@@ -76,11 +77,11 @@
 		now := time.Now()
 		b := testBook()
 		diamond(b, now)
-		b.finally("job-1", Done)
+		b.finally("job-1", record.Done)
 		w := b.pipes.waits["job-2"]
 		moved := *w.rec
 		b.movedOn(pending{wait: w, moved: &moved}, 5, now)
-		if j := b.jobs["job-2"]; j == nil || j.priority() != High || j.inherited.Deadline.Sub(now) != 189*time.Second {
+		if j := b.jobs["job-2"]; j == nil || j.priority() != record.High || j.inherited.Deadline.Sub(now) != 189*time.Second {
 			t.Errorf("the branch that moved is %+v", j)
 		}
 	})
@@ -96,12 +97,12 @@
 			b.setTeams(config.Team{Name: "red", CPUsMax: 3}, b.set.Params.Teams[1])
 			b.hear("m1", "north", 1)
 			b.hear("m2", "north", 1)
-			b.Learn("job-1", 1, rec("job-1", "blue", Normal, 8, 1), now)
+			b.Learn("job-1", 1, rec("job-1", "blue", record.Normal, 8, 1), now)
 			b.Plan(now)
 			b.store()
-			b.Learn("job-2", 2, rec("job-2", "red", Low, 8, 1), now)
+			b.Learn("job-2", 2, rec("job-2", "red", record.Low, 8, 1), now)
 			if needed {
-				b.LearnWaiting("job-3", 3, waits("job-3", High, 0, "job-2"), now)
+				b.LearnWaiting("job-3", 3, waits("job-3", record.High, 0, "job-2"), now)
 			}
 			for range 10 {
 				b.Plan(now)
@@ -137,13 +138,13 @@
 	// rising above its priority, at once; and against a deadline that begins anew.
 	synctest.Test(t, func(t *testing.T) {
 		now := time.Now()
-		waited := rec("job-1", "blue", Low, 50, 1)
+		waited := rec("job-1", "blue", record.Low, 50, 1)
 		waited.Submitted, waited.Ready = ids.WallOf(now.Add(-200*time.Second)), ids.WallOf(now)
 		waited.Spec.Due = 250
 		b := testBook()
 		b.set.Params.Teams[1].CPUs = 0
 		b.Learn("job-1", 1, waited, now)
-		b.Learn("job-2", 2, rec("job-2", "blue", Normal, 1, 1), now)
+		b.Learn("job-2", 2, rec("job-2", "blue", record.Normal, 1, 1), now)
 		b.jobs["job-2"].Rec.Submitted = ids.WallOf(now.Add(60 * time.Second))
 		j := b.jobs["job-1"]
 		for _, c := range []struct {
@@ -155,7 +156,7 @@
 				t.Errorf("%v after it is ready it goes first: %v, starves: %v", c.after, first, j.starves(at))
 			}
 		}
-		b.Learn("job-3", 3, rec("job-3", "blue", Low, 1, 1), now) // among low jobs it rises after 45 s
+		b.Learn("job-3", 3, rec("job-3", "blue", record.Low, 1, 1), now) // among low jobs it rises after 45 s
 		b.jobs["job-3"].Rec.Submitted = ids.WallOf(now.Add(20 * time.Second))
 		for after, first := range map[time.Duration]bool{44 * time.Second: false, 46 * time.Second: true} {
 			order := b.ranked(now.Add(after))
@@ -197,13 +198,13 @@
 		b := testBook()
 		b.LearnWaiting("job-2", 9, nil, now)
 		b.LearnWaiting("job-4", 4, nil, now) // an earlier record of that key
-		b.LoadWaiting(map[ids.Job]*Record{
-			"job-2": waits("job-2", Low, 0, "job-1"), "job-3": waits("job-3", Low, 0, "job-2"), "job-4": waits("job-4", Low, 0, "job-1"),
+		b.LoadWaiting(map[ids.Job]*record.Record{
+			"job-2": waits("job-2", record.Low, 0, "job-1"), "job-3": waits("job-3", record.Low, 0, "job-2"), "job-4": waits("job-4", record.Low, 0, "job-1"),
 		}, map[ids.Job]ids.Revision{"job-2": 5, "job-3": 6, "job-4": 7}, now)
 		if _, asked := b.pipes.lookUp["job-2"]; !asked || b.pipes.waits["job-2"] != nil || b.pipes.waits["job-4"] == nil {
 			t.Errorf("it is looked up: %v; those that wait: %v", asked, b.pipes.waits)
 		}
-		b.finally("job-2", Cancelled)
+		b.finally("job-2", record.Cancelled)
 		if by := b.pipes.graph.CancelledBy("job-3"); by != "job-2" {
 			t.Errorf("what awaits it is cancelled by %q", by)
 		}
--- a/internal/claim/job.go
+++ b/internal/claim/job.go
@@ -5,6 +5,7 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/dependency"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 )
 
 // Place is a task on, or perhaps on, a machine. It counts against quota and
@@ -52,7 +53,7 @@
 
 // Job is a job in the leader's memory.
 type Job struct {
-	Rec    Record
+	Rec    record.Record
 	stamp  ids.Revision
 	places map[int]*Place
 	tries  map[int]*retry
@@ -91,7 +92,7 @@
 
 // claimable tells whether tasks of the job may be started.
 func (j *Job) claimable() bool {
-	return !j.ended && (j.Rec.Status == Queued || j.Rec.Status == Claimed) && j.left() > 0
+	return !j.ended && (j.Rec.Status == record.Queued || j.Rec.Status == record.Claimed) && j.left() > 0
 }
 
 // pending counts the tasks that have no place yet.
@@ -107,4 +108,6 @@
 	return n
 }
 
-func (j *Job) cancelled() bool { return j.Rec.Status == Cancelling || j.Rec.Status == Cancelled }
+func (j *Job) cancelled() bool {
+	return j.Rec.Status == record.Cancelling || j.Rec.Status == record.Cancelled
+}
--- a/internal/claim/layout.go
+++ b/internal/claim/layout.go
@@ -9,11 +9,12 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/quota"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
 // layoutKey says into how many shards the store is laid out; there is none with one.
-const layoutKey = PoolPrefix + "shards"
+const layoutKey = record.PoolPrefix + "shards"
 
 // layout is its value.
 type layout struct {
@@ -51,11 +52,11 @@
 
 func (s *Shards) tryLayOut(ctx context.Context) error {
 	// Read before the layout: once that is there, jobs and leaders are as they should be.
-	jobs, _, _, err := s.state.List(ctx, JobPrefix, "", 1, state.Urgent)
+	jobs, _, _, err := s.state.List(ctx, record.JobPrefix, "", 1, state.Urgent)
 	if err != nil {
 		return err
 	}
-	whole := KeysOf(0, 1)
+	whole := record.KeysOf(0, 1)
 	_, led, err := s.state.Get(ctx, whole.Leader(), state.Urgent)
 	if err != nil {
 		return err
--- a/internal/claim/listed.go
+++ b/internal/claim/listed.go
@@ -7,6 +7,7 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -106,7 +107,7 @@
 		t := b.types[m.Type]
 		e := Emptiable{Name: name}
 		for p := range ps {
-			if p.Job.Rec.Spec.Shape != Service || p.stopping || p.status != worker.Running || now.Sub(p.ranSince) < settledFor || p.Job.Rec.Spec.Need.Accels > 0 {
+			if p.Job.Rec.Spec.Shape != record.Service || p.stopping || p.status != worker.Running || now.Sub(p.ranSince) < settledFor || p.Job.Rec.Spec.Need.Accels > 0 {
 				continue next
 			}
 			ask := p.Job.Rec.Spec.Ask()
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -10,6 +10,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/measure"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 )
 
 // warmth remembers how much a class of jobs used lately, so that room is kept
@@ -18,7 +19,7 @@
 	ask      placement.Ask
 	spread   bool
 	critical bool
-	shape    Shape
+	shape    record.Shape
 	want     []int // tasks wanted at once, one sample a second
 	ran      []int // tasks placed at once
 	now      int
@@ -44,12 +45,12 @@
 			w = &warmth{}
 			b.warm[s.Class] = w
 		}
-		w.ask, w.spread, w.critical, w.shape = s.Ask(), s.Spread, s.Priority == Critical, s.Shape
+		w.ask, w.spread, w.critical, w.shape = s.Ask(), s.Spread, s.Priority == record.Critical, s.Shape
 		w.ask.Types, w.ask.Zone = s.Types, ""
 		w.busy += len(j.places)
 		if j.claimable() && !j.failing() {
 			n := j.left()
-			if s.Shape == Array {
+			if s.Shape == record.Array {
 				n = min(n, len(j.places)+b.quotaFor(s, n))
 			}
 			w.now += n
@@ -105,18 +106,18 @@
 // horizon is the time within which queued work should get its turn; a queue
 // that the machines at hand work off sooner needs no new ones.
 func (b *ClusterState) horizon(j *Job) float64 {
-	if j.Rec.Spec.Shape == Gang {
+	if j.Rec.Spec.Shape == record.Gang {
 		// A queued gang gains from a new machine only if the wait for a
 		// running one to end is longer than a boot and a fetch.
 		return b.fresh(&j.Rec.Spec)
 	}
-	if j.guaranteed || j.priority() >= High {
+	if j.guaranteed || j.priority() >= record.High {
 		return 10
 	}
 	s := &j.Rec.Spec
 	due := math.Inf(1)
 	if s.Due > 0 {
-		due = float64(s.Due) - j.Rec.awaited().Seconds()
+		due = float64(s.Due) - j.Rec.Awaited().Seconds()
 	}
 	if by := j.inherited.Deadline; !by.IsZero() {
 		due = min(due, time.Until(by).Seconds())
@@ -131,7 +132,7 @@
 }
 
 // fetch is how long a task's image takes where it fits best.
-func (b *ClusterState) fetch(s *Spec) float64 {
+func (b *ClusterState) fetch(s *record.Spec) float64 {
 	best := 0.0
 	for _, t := range b.types {
 		if t.Room().Holds(s.Need) && (best == 0 || s.ImageGB/max(t.PullGBPerS, 0.01) < best) {
@@ -142,7 +143,7 @@
 }
 
 // fresh is how long a new machine for such tasks takes to be up with the image.
-func (b *ClusterState) fresh(s *Spec) float64 {
+func (b *ClusterState) fresh(s *record.Spec) float64 {
 	best := math.Inf(1)
 	for _, t := range b.types {
 		if t.Room().Holds(s.Need) {
@@ -168,9 +169,9 @@
 	}
 	turn = 1
 	slots = float64(n)
-	if s.Estimate > 0 && (s.Shape == Array || s.Shape == Gang && s.Tasks == 1) {
+	if s.Estimate > 0 && (s.Shape == record.Array || s.Shape == record.Gang && s.Tasks == 1) {
 		takes := float64(s.Estimate)
-		if s.Shape == Gang {
+		if s.Shape == record.Gang {
 			takes += b.fetch(s) / 2 // about every second one has to fetch
 		}
 		share := min(1, takes/b.horizon(j))
@@ -231,7 +232,7 @@
 		g.zone = ask.Zone
 		if _, ok := at[g]; !ok {
 			at[g] = len(ds)
-			ds = append(ds, placement.Demand{Ask: ask, Spread: s.Spread, Together: g.job != "" && ask.Zone == "", Preempt: j.priority() >= High, TurnShare: turn})
+			ds = append(ds, placement.Demand{Ask: ask, Spread: s.Spread, Together: g.job != "" && ask.Zone == "", Preempt: j.priority() >= record.High, TurnShare: turn})
 		}
 		sums[g] += slots
 	}
@@ -257,7 +258,7 @@
 			ds = append(ds, placement.Demand{Ask: w.ask, Count: n, Spread: true, Keep: true, Preempt: true, TurnShare: 1})
 			continue
 		}
-		if w.shape == Array && b.aimed(c) {
+		if w.shape == record.Array && b.aimed(c) {
 			if n := min(w.high()-max(w.busy, w.now), b.affordable(w)); n > 0 {
 				ds = append(ds, placement.Demand{Ask: w.ask, Count: n, Keep: true})
 			}
@@ -273,7 +274,7 @@
 			n = 2 * (w.now + 1)
 		}
 		if n > 0 {
-			ds = append(ds, placement.Demand{Ask: w.ask, Count: n, Keep: true, Hold: young, Preempt: w.shape == Gang, TurnShare: 1})
+			ds = append(ds, placement.Demand{Ask: w.ask, Count: n, Keep: true, Hold: young, Preempt: w.shape == record.Gang, TurnShare: 1})
 		}
 	}
 	return ds
--- a/internal/claim/other_shards.go
+++ b/internal/claim/other_shards.go
@@ -5,6 +5,7 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/dependency"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -30,21 +31,21 @@
 }
 
 // statusElsewhere reads from this node's copy how a live job stands.
-func (p *Pool) statusElsewhere(id ids.Job) (how Status, live bool) {
+func (p *Pool) statusElsewhere(id ids.Job) (how record.Status, live bool) {
 	if ids.ShardOf(id, p.Set.Shards()) == p.shard {
 		return "", false
 	}
-	entries, ready := p.jobs.Several(JobKey(id), CancelKey(id), WaitKey(id))
-	record, cancellation, waits := entries[0], entries[1], entries[2]
+	entries, ready := p.jobs.Several(record.JobKey(id), record.CancelKey(id), record.WaitKey(id))
+	stored, cancellation, waits := entries[0], entries[1], entries[2]
 	switch {
-	case !ready || record.Key == "":
-		return Queued, waits.Key != ""
+	case !ready || stored.Key == "":
+		return record.Queued, waits.Key != ""
 	case cancellation.Key != "":
-		return Cancelling, true
+		return record.Cancelling, true
 	}
-	rec, err := Decode(record.Value)
+	rec, err := record.Decode(stored.Value)
 	if err != nil {
-		return Queued, true
+		return record.Queued, true
 	}
 	return rec.Status, true
 }
@@ -59,7 +60,7 @@
 	switch {
 	case !live:
 		b.ask(id, now)
-	case how == Cancelling || how == Cancelled:
+	case how == record.Cancelling || how == record.Cancelled:
 		b.cancelDependents(id)
 	}
 }
--- a/internal/claim/outcomes.go
+++ b/internal/claim/outcomes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -56,7 +57,7 @@
 		}
 	}
 	for _, id := range wanted[:min(len(wanted), readsPerPass)] {
-		e, found, err := c.State.Get(ctx, EndKey(id), state.Normal)
+		e, found, err := c.State.Get(ctx, record.EndKey(id), state.Normal)
 		if err != nil {
 			c.Cluster.askAgain(id, now) // the others must not wait for one that can't be read
 			return
@@ -91,7 +92,7 @@
 // lookUpPage reads the page of final records that begins at the first wanted one, and
 // tells how many of the wanted lie within it.
 func (c *Committer) lookUpPage(ctx context.Context, wanted []ids.Job, now time.Time) (covered int, ok bool) {
-	entries, more, _, err := c.State.List(ctx, EndPrefix, justBefore(EndKey(wanted[0])), lookUpPage, state.Normal)
+	entries, more, _, err := c.State.List(ctx, record.EndPrefix, justBefore(record.EndKey(wanted[0])), lookUpPage, state.Normal)
 	if err != nil {
 		return 0, false
 	}
@@ -100,7 +101,7 @@
 		byKey[e.Key] = e
 	}
 	for _, id := range wanted {
-		key := EndKey(id)
+		key := record.EndKey(id)
 		if more && (len(entries) == 0 || key > entries[len(entries)-1].Key) {
 			break
 		}
@@ -136,7 +137,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	rec, err := Decode(e.Value)
+	rec, err := record.Decode(e.Value)
 	if err != nil || !rec.Status.Over() {
 		slog.Error("unreadable record", "key", e.Key, "err", err)
 		b.pipes.lookUp[id] = now.Add(lookUpAgain)
@@ -147,11 +148,11 @@
 
 // findLive takes in a live record that this leader wrote but does not know of.
 func (c *Committer) findLive(ctx context.Context, id ids.Job, now time.Time) {
-	e, found, err := c.State.Get(ctx, JobKey(id), state.Normal)
+	e, found, err := c.State.Get(ctx, record.JobKey(id), state.Normal)
 	if err != nil || !found {
 		return
 	}
-	rec, err := Decode(e.Value)
+	rec, err := record.Decode(e.Value)
 	if err != nil {
 		return
 	}
--- a/internal/claim/outcomes_test.go
+++ b/internal/claim/outcomes_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/fake"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -28,13 +29,13 @@
 	h.network.Listen("state:1", h.store)
 	h.network.SetRule(func(string, string, *http.Request, []byte) fake.Fate { h.calls++; return fake.Deliver })
 	h.state = state.NewClient("state:1", h.network.Client("a"), state.NewBudget(1e6, 1e6, 1, 0.6))
-	put := func(status Status, numbers ...int) {
+	put := func(status record.Status, numbers ...int) {
 		var txn state.Txn
 		for _, k := range numbers {
-			end := rec(numbered(k), "red", Low, 1, 1)
+			end := rec(numbered(k), "red", record.Low, 1, 1)
 			end.Status = status
 			raw, _ := end.Encode(8192)
-			txn.Then = append(txn.Then, state.Op{Put: EndKey(numbered(k)), Value: raw})
+			txn.Then = append(txn.Then, state.Op{Put: record.EndKey(numbered(k)), Value: raw})
 		}
 		if _, err := h.state.Commit(context.Background(), txn, state.Urgent); err != nil {
 			t.Fatal(err)
@@ -43,12 +44,12 @@
 	var all []int
 	for k := first; k < first+n; k++ {
 		if all = append(all, k); len(all) == 500 || k == first+n-1 {
-			put(Done, all...)
+			put(record.Done, all...)
 			all = nil
 		}
 	}
 	if len(cancelled) > 0 {
-		put(Cancelled, cancelled...)
+		put(record.Cancelled, cancelled...)
 	}
 	h.calls = 0
 	return h
@@ -77,7 +78,7 @@
 		c := NewCommitter(b, h.state, "a", 0)
 		for k := range 50 {
 			id := numbered(200000 + k)
-			b.LearnWaiting(id, 1, waits(id, Low, 0, numbered(100000+400*k)), time.Now())
+			b.LearnWaiting(id, 1, waits(id, record.Low, 0, numbered(100000+400*k)), time.Now())
 		}
 		before := h.calls
 		c.lookUpOnce(context.Background())
@@ -103,7 +104,7 @@
 		c := NewCommitter(b, h.state, "a", 0)
 		for k := range 3000 {
 			id := numbered(200000 + k)
-			b.LearnWaiting(id, 1, waits(id, Low, 0, numbered(110000+k)), time.Now())
+			b.LearnWaiting(id, 1, waits(id, record.Low, 0, numbered(110000+k)), time.Now())
 		}
 		passes := lookUpAll(t, c)
 		if ready, _ := b.pipes.graph.Counts(); ready != 3000 || passes > 2 || h.calls > 6+1 {
@@ -121,10 +122,10 @@
 		c := NewCommitter(b, h.state, "a", 0)
 		for k := range 120 { // the last 20 did not end; one of them is live, unknown to the leader
 			id := numbered(200000 + k)
-			b.LearnWaiting(id, 1, waits(id, Low, 0, numbered(100000+k)), time.Now())
+			b.LearnWaiting(id, 1, waits(id, record.Low, 0, numbered(100000+k)), time.Now())
 		}
-		raw, _ := rec(numbered(100110), "red", Low, 1, 1).Encode(8192)
-		if _, err := h.state.Commit(context.Background(), state.Txn{Then: []state.Op{{Put: JobKey(numbered(100110)), Value: raw}}}, state.Urgent); err != nil {
+		raw, _ := rec(numbered(100110), "red", record.Low, 1, 1).Encode(8192)
+		if _, err := h.state.Commit(context.Background(), state.Txn{Then: []state.Op{{Put: record.JobKey(numbered(100110)), Value: raw}}}, state.Urgent); err != nil {
 			t.Fatal(err)
 		}
 		c.lookUpOnce(context.Background())
--- a/internal/claim/oversize_record_test.go
+++ b/internal/claim/oversize_record_test.go
@@ -7,13 +7,14 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
 func TestAFinalRecordFitsAndTellsHowItEnded(t *testing.T) {
 	// Guards against an end, or the cancellation of a queued job, that can't be stored
 	// because of what nobody needs any more, and against losing why the job ended.
-	r := rec("job-1", "red", Low, 4000, 1)
+	r := rec("job-1", "red", record.Low, 4000, 1)
 	for i := 0; i < 4000; i += 2 {
 		r.Finished.Add(i)
 	}
@@ -21,15 +22,15 @@
 		r.Spec.Awaits = append(r.Spec.Awaits, ids.Job("job-"+strings.Repeat("1", 1+i%9)))
 	}
 	for range 12 {
-		r.Trail = append(r.Trail, Event{What: strings.Repeat("earlier ", 10)})
+		r.Trail = append(r.Trail, record.Event{What: strings.Repeat("earlier ", 10)})
 	}
-	r.Status = Cancelled
-	r.Trail = append(r.Trail, Event{What: "cancelled: it needs job-7"})
+	r.Status = record.Cancelled
+	r.Trail = append(r.Trail, record.Event{What: "cancelled: it needs job-7"})
 	raw, fits := r.EncodeFinal(2048)
 	if !fits || len(raw) > 2048 {
 		t.Fatalf("a final record of %d bytes", len(raw))
 	}
-	var got Record
+	var got record.Record
 	if err := json.Unmarshal(raw, &got); err != nil {
 		t.Fatal(err)
 	}
@@ -44,7 +45,7 @@
 func TestARecordThatDoesNotFitIsNotTriedAgainUnchanged(t *testing.T) {
 	// Guards against encoding a large record four times a second for nothing.
 	b := testBook()
-	j := b.addJob(rec("job-1", "blue", Low, 10, 1), 1, time.Now())
+	j := b.addJob(rec("job-1", "blue", record.Low, 10, 1), 1, time.Now())
 	c := NewCommitter(b, state.NewClient("state:1", nil, state.NewBudget(1000, 1000, 1, 0.6)), "a", 0)
 	b.touch(j)
 	b.hurry(j)
--- a/internal/claim/ownership.go
+++ b/internal/claim/ownership.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -39,7 +40,7 @@
 
 // hireShard is the shard whose hire is stored at a key.
 func hireShard(key string) (ids.Shard, bool) {
-	rest, found := strings.CutPrefix(key, PoolPrefix+"~")
+	rest, found := strings.CutPrefix(key, record.PoolPrefix+"~")
 	if !found {
 		return 0, false
 	}
--- a/internal/claim/pipeline.go
+++ b/internal/claim/pipeline.go
@@ -5,11 +5,12 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/dependency"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 )
 
 // waiting is the record of a job that awaits others, in the leader's memory.
 type waiting struct {
-	rec   *Record
+	rec   *record.Record
 	stamp ids.Revision
 }
 
@@ -32,7 +33,7 @@
 
 // LearnWaiting takes in a job that awaits others, or that it no longer does; rec is
 // nil then.
-func (b *ClusterState) LearnWaiting(id ids.Job, stamp ids.Revision, rec *Record, now time.Time) {
+func (b *ClusterState) LearnWaiting(id ids.Job, stamp ids.Revision, rec *record.Record, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.pipes.waits[id]
@@ -52,7 +53,7 @@
 }
 
 // LoadWaiting adds, at a takeover, the jobs that wait; those they await are loaded.
-func (b *ClusterState) LoadWaiting(recs map[ids.Job]*Record, stamps map[ids.Job]ids.Revision, now time.Time) {
+func (b *ClusterState) LoadWaiting(recs map[ids.Job]*record.Record, stamps map[ids.Job]ids.Revision, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var added []*waiting
@@ -140,9 +141,9 @@
 }
 
 // finally takes in how a job ended, once that is stored.
-func (b *ClusterState) finally(id ids.Job, how Status) {
+func (b *ClusterState) finally(id ids.Job, how record.Status) {
 	delete(b.pipes.lookUp, id)
-	if how != Done {
+	if how != record.Done {
 		b.cancelDependents(id)
 		return
 	}
@@ -171,12 +172,12 @@
 }
 
 // duration is how long a job takes once it may start, by its estimate.
-func (b *ClusterState) duration(s *Spec) time.Duration {
+func (b *ClusterState) duration(s *record.Spec) time.Duration {
 	return ids.Seconds(float64(s.Estimate) + b.fetch(s)).Duration()
 }
 
 // deadline is when a job should be complete; it counts from its submission.
-func deadline(r *Record) time.Time {
+func deadline(r *record.Record) time.Time {
 	if r.Spec.Due <= 0 {
 		return time.Time{}
 	}
@@ -184,6 +185,6 @@
 }
 
 // priority is a job's own, or that of a job that needs it.
-func (j *Job) priority() Priority {
-	return max(j.Rec.Spec.Priority, Priority(j.inherited.Priority))
+func (j *Job) priority() record.Priority {
+	return max(j.Rec.Spec.Priority, record.Priority(j.inherited.Priority))
 }
--- a/internal/claim/pipeline_handover_test.go
+++ b/internal/claim/pipeline_handover_test.go
@@ -227,7 +227,7 @@
 				t.Fatal(res, err)
 			}
 		}
-		record := func(id, status, awaits string) string {
+		stored := func(id, status, awaits string) string {
 			return fmt.Sprintf(`{"spec":{"id":%q,"team":"red","shape":"array","priority":0,"tasks":1,"need":{"cores":1},"awaits":[%s]},`+
 				`"status":%q,"submitted":1700000000000,"attempt":0,"generation":0,"finished":"","writer":"u","seq":1}`, id, awaits, status)
 		}
@@ -235,11 +235,11 @@
 		entries := map[string]string{}
 		for i := range ended {
 			id := fmt.Sprintf("job-%d", 5000+i)
-			entries["end/"+id] = record(id, "done", "")
+			entries["end/"+id] = stored(id, "done", "")
 		}
 		for i := range waiting {
 			id := fmt.Sprintf("job-%d", 100000+i)
-			entries["job/wait/"+id] = "[" + record(id, "queued", fmt.Sprintf(`"job-1","job-%d"`, 5000+i%ended)) + "]"
+			entries["job/wait/"+id] = "[" + stored(id, "queued", fmt.Sprintf(`"job-1","job-%d"`, 5000+i%ended)) + "]"
 		}
 		put(entries)
 		calls := map[string]int{}
--- a/internal/claim/pipeline_times_test.go
+++ b/internal/claim/pipeline_times_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 )
 
 func TestWaitingCountsFromTheEndOfTheLastJobAwaited(t *testing.T) {
@@ -14,11 +15,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := testBook()
 		committer := NewCommitter(b, nil, "a", 1)
-		b.LearnWaiting("job-2", 3, waits("job-2", Low, 0, "job-1"), time.Now())
+		b.LearnWaiting("job-2", 3, waits("job-2", record.Low, 0, "job-1"), time.Now())
 		time.Sleep(300 * time.Second)
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		b.finally("job-1", Done)
+		b.finally("job-1", record.Done)
 		committer.waitingOnes(false, func(p pending) bool { b.stored(p, 9); return true })
 		j := b.jobs["job-2"]
 		if j == nil {
@@ -27,7 +28,7 @@
 		if j.starves(time.Now()) {
 			t.Error("it counts as waiting since its submission")
 		}
-		if got := j.Rec.since(); got != ids.WallOf(time.Now()) {
+		if got := j.Rec.Since(); got != ids.WallOf(time.Now()) {
 			t.Errorf("its waiting counts from %v", got.Time())
 		}
 		if !j.starves(time.Now().Add(starving + time.Second)) {
--- a/internal/claim/pool.go
+++ b/internal/claim/pool.go
@@ -12,6 +12,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
@@ -62,7 +63,7 @@
 	OnTerm func(ctx context.Context, t *Term)
 
 	shard       ids.Shard
-	keys        ShardKeys
+	keys        record.ShardKeys
 	incarnation string
 	mirror      *state.Mirror
 	jobs        *state.Mirror
@@ -94,13 +95,13 @@
 type mirrors struct{ pool, jobs *state.Mirror }
 
 func newMirrors(c *state.Client) mirrors {
-	return mirrors{pool: state.NewMirror(c, PoolPrefix, 100*time.Millisecond), jobs: state.NewMirror(c, JobPrefix, 400*time.Millisecond)}
+	return mirrors{pool: state.NewMirror(c, record.PoolPrefix, 100*time.Millisecond), jobs: state.NewMirror(c, record.JobPrefix, 400*time.Millisecond)}
 }
 
 // newPool makes the client of one shard.
 func newPool(set *config.Settings, c *state.Client, cmd *worker.Commander, incarnation string, shard ids.Shard, copies mirrors) *Pool {
 	p := &Pool{Set: set, State: c, Commander: cmd, incarnation: incarnation, sent: map[ids.Machine]sentOn{},
-		shard: shard, keys: KeysOf(shard, set.Shards()), mirror: copies.pool, jobs: copies.jobs}
+		shard: shard, keys: record.KeysOf(shard, set.Shards()), mirror: copies.pool, jobs: copies.jobs}
 	p.known = p.Leader
 	p.readAt = p.jobs.AsOf
 	return p
@@ -108,15 +109,15 @@
 
 // followJobs takes in news of a job's records.
 func (p *Pool) followJobs(ch state.Change) {
-	id, kind := keyed(ch.Key())
+	id, kind := record.ParseKey(ch.Key())
 	switch {
-	case kind == waitingRecord:
+	case kind == record.WaitingRecord:
 		p.learnWaiting(id, ch)
 		return
 	case ids.ShardOf(id, p.Set.Shards()) != p.shard:
 		p.learnOfOtherShard(id, ch)
 		return
-	case kind == storedCancellation:
+	case kind == record.StoredCancellation:
 		if b := p.Cluster(); b != nil {
 			b.LearnCancellation(id, ch.Revision, ch.Put == "")
 		}
@@ -130,7 +131,7 @@
 	if b == nil || b.wrote(ch.Value) {
 		return
 	}
-	if rec, err := Decode(ch.Value); err == nil {
+	if rec, err := record.Decode(ch.Value); err == nil {
 		p.Learn(id, ch.Revision, rec)
 	}
 }
@@ -203,7 +204,7 @@
 
 // Types reads the machine types that a leader has stored.
 func (p *Pool) Types() []placement.Type {
-	e, found, _ := p.mirror.Get(TypesKey)
+	e, found, _ := p.mirror.Get(record.TypesKey)
 	if !found {
 		return nil
 	}
@@ -297,13 +298,13 @@
 	}
 	if ch.Put == "" {
 		b.LearnWaiting(id, ch.Revision, nil, time.Now())
-	} else if rec, err := DecodeWaiting(ch.Value); err == nil {
+	} else if rec, err := record.DecodeWaiting(ch.Value); err == nil {
 		b.LearnWaiting(id, ch.Revision, rec, time.Now())
 	}
 }
 
 // Learn passes on what another controller wrote, if this node owns the pool.
-func (p *Pool) Learn(id ids.Job, stamp ids.Revision, rec *Record) {
+func (p *Pool) Learn(id ids.Job, stamp ids.Revision, rec *record.Record) {
 	if b := p.Cluster(); b != nil {
 		b.Learn(id, stamp, rec, time.Now())
 	}
--- a/internal/claim/preempt.go
+++ b/internal/claim/preempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 )
 
 // reservation keeps room that was freed by stopping others for whom it was
@@ -23,7 +24,7 @@
 
 // victimKey is what decides whom a job may displace.
 type victimKey struct {
-	priority   Priority
+	priority   record.Priority
 	guaranteed bool
 	team       string
 	image      string // only machines that hold it; empty: all
@@ -108,7 +109,7 @@
 	// nothing here and costs the other its start.
 	lesser := func(victims []*Place) bool {
 		return len(victims) > 0 && !slices.ContainsFunc(victims, func(v *Place) bool {
-			return v.leewayWanted() > 0 || v.Job.Rec.Spec.Shape == Service || v.Job.priority() >= j.priority()
+			return v.leewayWanted() > 0 || v.Job.Rec.Spec.Shape == record.Service || v.Job.priority() >= j.priority()
 		})
 	}
 	_, host, _ := b.preemptOn(j, ask, ps, victimFilter{image: ask.Image, accepts: lesser})
@@ -151,7 +152,7 @@
 	if j.suspect() {
 		return false, "", false // nothing is stopped for what may fail anyway
 	}
-	if j.priority() < High && !j.guaranteed || !b.Storing() {
+	if j.priority() < record.High && !j.guaranteed || !b.Storing() {
 		return false, "", true
 	}
 	now := ps.now
@@ -214,7 +215,7 @@
 	grace := ids.Seconds(0)
 	for _, v := range bestVictims {
 		lee := v.leewayWanted()
-		if j.priority() == Critical && v.littleToSave(now) {
+		if j.priority() == record.Critical && v.littleToSave(now) {
 			lee = 0
 		}
 		b.stop(v, lee, fmt.Sprintf("to make room for %s (%s)", j.Rec.Spec.ID, j.priority()))
@@ -237,7 +238,7 @@
 // worth less than making critical work wait for a save.
 func (p *Place) littleToSave(now time.Time) bool {
 	s := &p.Job.Rec.Spec
-	if s.Shape != Array || s.Checkpoint <= 0 {
+	if s.Shape != record.Array || s.Checkpoint <= 0 {
 		return false
 	}
 	if p.ranSince.IsZero() {
@@ -263,7 +264,7 @@
 			cs = append(cs, cand{p, p.lossIfStopped(now)})
 		}
 	}
-	hurry := j.priority() == Critical
+	hurry := j.priority() == record.Critical
 	sort.Slice(cs, func(x, y int) bool {
 		a, z := cs[x].p.Job.priority(), cs[y].p.Job.priority()
 		// Critical work does not wait for others to save.
@@ -302,7 +303,7 @@
 
 // keptFrom tells whether a place is kept for now from being stopped for a job.
 func (p *Place) keptFrom(j *Job) bool {
-	return j.priority() < Critical && time.Now().Before(p.keptUntil)
+	return j.priority() < record.Critical && time.Now().Before(p.keptUntil)
 }
 
 func (b *ClusterState) mayStopJob(v, j *Job) bool {
@@ -330,7 +331,7 @@
 	if s.Checkpoint > 0 {
 		ran = float64(s.Save)
 	}
-	if s.Shape == Service {
+	if s.Shape == record.Service {
 		ran = 1000
 	}
 	return ran * s.Need.Cores
--- a/internal/claim/process_pause_test.go
+++ b/internal/claim/process_pause_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -68,7 +69,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := NewPool(testSet(), nil, nil, "a.1")
 		b := fleet(t, 1)
-		b.Learn("job-1", 1, rec("job-1", "blue", Normal, 40, 1), time.Now())
+		b.Learn("job-1", 1, rec("job-1", "blue", record.Normal, 40, 1), time.Now())
 		b.Plan(time.Now())
 		if _, err := p.Explain("job-1"); err == nil {
 			t.Error("who does not own the pool explains")
--- a/internal/claim/production_test.go
+++ b/internal/claim/production_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 )
 
 // The files in testdata/production were written by the version that deploy/service.toml
@@ -43,7 +44,7 @@
 	// production wrote comes back to the letter, with every place in its place.
 	for _, name := range []string{"queued.json", "claimed.json", "cancelling.json", "done.json"} {
 		want := golden(t, name)
-		r, err := Decode(want)
+		r, err := record.Decode(want)
 		if err != nil {
 			t.Fatalf("%s: %v", name, err)
 		}
@@ -57,7 +58,7 @@
 			continue
 		}
 		b := testBook()
-		b.Load(map[ids.Job]*Record{"job-1": r}, map[ids.Job]ids.Revision{"job-1": 3}, 3, time.Now())
+		b.Load(map[ids.Job]*record.Record{"job-1": r}, map[ids.Job]ids.Revision{"job-1": 3}, 3, time.Now())
 		j := b.jobs["job-1"]
 		back := j.Rec
 		back.Places = packPlaces(j.places)
@@ -77,17 +78,17 @@
 func TestTheProductionVersionFindsWhatItNeeds(t *testing.T) {
 	// Guards against records that an old leader would take for something else. One that
 	// awaits others it must pass over: it would start it at once, and drop what it awaits.
-	r := rec("job-2", "blue", Normal, 4, 1)
+	r := rec("job-2", "blue", record.Normal, 4, 1)
 	r.Spec.Awaits = []ids.Job{"job-1"}
 	raw, ok := r.EncodeWaiting(8192)
 	var old map[string]any // any type that reads objects only, as production's does
 	if err := json.Unmarshal(raw, &old); !ok || err == nil {
 		t.Errorf("a waiting job's record reads as an object: %s", raw)
 	}
-	if back, err := DecodeWaiting(raw); err != nil || back.Spec.Awaits[0] != "job-1" {
+	if back, err := record.DecodeWaiting(raw); err != nil || back.Spec.Awaits[0] != "job-1" {
 		t.Errorf("read back as %v, %v", back, err)
 	}
-	if _, err := Decode(raw); err == nil {
+	if _, err := record.Decode(raw); err == nil {
 		t.Error("a waiting job's record is taken for a claimable one's")
 	}
 	// Once it awaits nothing any more, only fields are new that may be lost.
--- a/internal/claim/promote.go
+++ b/internal/claim/promote.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -86,14 +87,14 @@
 	rec := *w.rec
 	rec.Gen, rec.Writer, rec.Seq = b.gen, b.writer, w.rec.Seq+1
 	limit := int(b.set.Params.State.ValueKB * 1024)
-	key, encode := JobKey(id), rec.Encode
+	key, encode := record.JobKey(id), rec.Encode
 	if over {
-		key, encode = EndKey(id), rec.EncodeFinal
+		key, encode = record.EndKey(id), rec.EncodeFinal
 		rec.EndedBy(b.pipes.graph.CancelledBy(id))
 	} else {
 		rec.Ready = now
-		rec.leaveRoom(limit)
-		rec.Trail = append(slices.Clone(rec.Trail), Event{now, "all jobs that it awaited are done"})
+		rec.LeaveRoom(limit)
+		rec.Trail = append(slices.Clone(rec.Trail), record.Event{At: now, What: "all jobs that it awaited are done"})
 	}
 	raw, ok := encode(limit)
 	if !ok {
@@ -101,16 +102,11 @@
 		return pending{}, false
 	}
 	p = pending{wait: w, moved: &rec, over: over, size: len(raw) + 200}
-	p.conds = []state.Condition{{Key: WaitKey(id), Revision: w.stamp}, {Key: key}}
-	p.ops = []state.Op{{Remove: WaitKey(id)}, {Put: key, Value: raw}}
+	p.conds = []state.Condition{{Key: record.WaitKey(id), Revision: w.stamp}, {Key: key}}
+	p.ops = []state.Op{{Remove: record.WaitKey(id)}, {Put: key, Value: raw}}
 	return p, true
 }
 
-// cancelledText words why a job that waited is cancelled.
-func cancelledText(by ids.Job) string {
-	return "cancelled: it needs " + string(by) + ", which was cancelled"
-}
-
 // movedOn takes in that a waiting job's move is stored.
 func (b *ClusterState) movedOn(p pending, stamp ids.Revision, now time.Time) {
 	id := p.wait.id()
@@ -118,7 +114,7 @@
 		b.unwait(p.wait)
 	}
 	if p.over {
-		b.finally(id, Cancelled)
+		b.finally(id, record.Cancelled)
 		return
 	}
 	if b.jobs[id] == nil {
@@ -131,13 +127,13 @@
 // answer was lost, or its user cancelled it.
 func (c *Committer) repairMove(ctx context.Context, p pending) bool {
 	b, id := c.Cluster, p.wait.id()
-	live, found, err := c.State.Get(ctx, JobKey(id), state.Urgent)
+	live, found, err := c.State.Get(ctx, record.JobKey(id), state.Urgent)
 	if err != nil {
 		return false
 	}
 	now := time.Now()
 	if found {
-		rec, err := Decode(live.Value)
+		rec, err := record.Decode(live.Value)
 		if err != nil {
 			slog.Error("unreadable record", "job", id, "err", err)
 			return false
--- a/internal/claim/promote_test.go
+++ b/internal/claim/promote_test.go
@@ -7,18 +7,19 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
 // storeWaiting stores jobs that wait and loads them like a new leader.
-func (h *history) storeWaiting(t *testing.T, b *ClusterState, recs ...*Record) {
-	byID, stamps := map[ids.Job]*Record{}, map[ids.Job]ids.Revision{}
+func (h *history) storeWaiting(t *testing.T, b *ClusterState, recs ...*record.Record) {
+	byID, stamps := map[ids.Job]*record.Record{}, map[ids.Job]ids.Revision{}
 	for len(recs) > 0 {
 		var txn state.Txn
 		n := min(500, len(recs))
 		for _, r := range recs[:n] {
 			raw, _ := r.EncodeWaiting(8192)
-			txn.Then = append(txn.Then, state.Op{Put: WaitKey(r.Spec.ID), Value: raw})
+			txn.Then = append(txn.Then, state.Op{Put: record.WaitKey(r.Spec.ID), Value: raw})
 		}
 		epoch, err := h.state.Commit(context.Background(), txn, state.Urgent)
 		if err != nil {
@@ -33,9 +34,9 @@
 }
 
 // storeLive stores a claimable job and loads it.
-func (h *history) storeLive(t *testing.T, b *ClusterState, r *Record) *Job {
+func (h *history) storeLive(t *testing.T, b *ClusterState, r *record.Record) *Job {
 	raw, _ := r.Encode(8192)
-	epoch, err := h.state.Commit(context.Background(), state.Txn{Then: []state.Op{{Put: JobKey(r.Spec.ID), Value: raw}}}, state.Urgent)
+	epoch, err := h.state.Commit(context.Background(), state.Txn{Then: []state.Op{{Put: record.JobKey(r.Spec.ID), Value: raw}}}, state.Urgent)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -44,9 +45,9 @@
 }
 
 // fan is n low jobs from job-1000 on that await one.
-func fan(n int, on ids.Job) (recs []*Record) {
+func fan(n int, on ids.Job) (recs []*record.Record) {
 	for k := range n {
-		recs = append(recs, waits(numbered(1000+k), Low, 0, on))
+		recs = append(recs, waits(numbered(1000+k), record.Low, 0, on))
 	}
 	return recs
 }
@@ -61,27 +62,27 @@
 		b := testBook()
 		b.hear("m1", "north", 1)
 		c := NewCommitter(b, h.state, "a", 0)
-		first := h.storeLive(t, b, rec("job-500", "red", Low, 1, 1))
+		first := h.storeLive(t, b, rec("job-500", "red", record.Low, 1, 1))
 		h.storeWaiting(t, b, fan(2000, "job-500")...)
 		h.store.SetLimits(8192, b.set.Params.State.TxnOps)
 		b.cancel(first)
-		if c.Step(ctx); h.store.Value(EndKey("job-500")) == nil {
+		if c.Step(ctx); h.store.Value(record.EndKey("job-500")) == nil {
 			t.Error("the end of the cancelled job itself is not in the first group")
 		}
 		h.calls = 0
-		marker := h.storeLive(t, b, rec("job-501", "red", Normal, 1, 1))
+		marker := h.storeLive(t, b, rec("job-501", "red", record.Normal, 1, 1))
 		b.Plan(time.Now())
 		if c.Step(ctx); marker.saved != marker.version || len(marker.places) != 1 {
 			t.Error("a marker waits for the ends of those that were cancelled")
 		}
 		began := time.Now()
-		for h.store.Count(WaitPrefix) > 0 && time.Since(began) < 5*time.Minute {
+		for h.store.Count(record.WaitPrefix) > 0 && time.Since(began) < 5*time.Minute {
 			c.Step(ctx)
 			time.Sleep(20 * time.Millisecond)
 		}
 		took := time.Since(began)
-		if h.store.TooLarge > 0 || h.store.Count(WaitPrefix) > 0 || h.store.Count(EndPrefix) != 1+2001 {
-			t.Fatalf("%d transactions were too large, %d jobs wait, %d ended", h.store.TooLarge, h.store.Count(WaitPrefix), h.store.Count(EndPrefix))
+		if h.store.TooLarge > 0 || h.store.Count(record.WaitPrefix) > 0 || h.store.Count(record.EndPrefix) != 1+2001 {
+			t.Fatalf("%d transactions were too large, %d jobs wait, %d ended", h.store.TooLarge, h.store.Count(record.WaitPrefix), h.store.Count(record.EndPrefix))
 		}
 		// Two changes for each, 12 in a transaction, 80 a second for this node.
 		if h.calls > 2000/6+10 || took > 90*time.Second {
@@ -110,11 +111,11 @@
 		b := testBook()
 		b.hear("m1", "north", 1)
 		c := NewCommitter(b, h.state, "a", 0)
-		h.storeLive(t, b, rec("job-500", "red", Low, 1, 1))
-		high := waits("job-9000", Low, 0, "job-500")
-		h.storeWaiting(t, b, append(fan(300, "job-500"), high, waits("job-9001", High, 0, "job-9000"))...)
-		marker := h.storeLive(t, b, rec("job-501", "red", Normal, 1, 1))
-		b.finally("job-500", Done)
+		h.storeLive(t, b, rec("job-500", "red", record.Low, 1, 1))
+		high := waits("job-9000", record.Low, 0, "job-500")
+		h.storeWaiting(t, b, append(fan(300, "job-500"), high, waits("job-9001", record.High, 0, "job-9000"))...)
+		marker := h.storeLive(t, b, rec("job-501", "red", record.Normal, 1, 1))
+		b.finally("job-500", record.Done)
 		b.Plan(time.Now())
 		c.Step(ctx)
 		if b.jobs["job-9000"] == nil {
@@ -126,9 +127,9 @@
 		if marker.saved != marker.version || len(marker.places) != 1 {
 			t.Error("a marker waits for the moves of hundreds")
 		}
-		for groups := 0; h.store.Count(WaitPrefix) > 1; groups++ {
+		for groups := 0; h.store.Count(record.WaitPrefix) > 1; groups++ {
 			if c.Step(ctx); groups > 300/6+10 {
-				t.Fatalf("%d still wait after %d groups", h.store.Count(WaitPrefix), groups)
+				t.Fatalf("%d still wait after %d groups", h.store.Count(record.WaitPrefix), groups)
 			}
 		}
 		if b.pipes.graph.Len() != 1 || len(b.jobs) != 2+301 {
@@ -143,10 +144,10 @@
 		now := time.Now()
 		b := fleet(t, 20)
 		h := newHistory(t, 1, 100)
-		b.Learn("job-500", 1, rec("job-500", "blue", Low, 100, 1), now)
+		b.Learn("job-500", 1, rec("job-500", "blue", record.Low, 100, 1), now)
 		recs := fan(5000, "job-500")
 		for k := range 5000 {
-			recs = append(recs, waits(numbered(10000+k), High, 1000, numbered(1000+k), numbered(1+k%100)))
+			recs = append(recs, waits(numbered(10000+k), record.High, 1000, numbered(1000+k), numbered(1+k%100)))
 		}
 		h.storeWaiting(t, b, recs...)
 		c := NewCommitter(b, h.state, "a", 0)
--- a/internal/claim/ranking.go
+++ b/internal/claim/ranking.go
@@ -7,6 +7,7 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 )
 
 // queue puts a job into the line by submission; unqueue takes it out.
@@ -66,14 +67,14 @@
 	for i := range es {
 		j := es[i].j
 		s := &j.Rec.Spec
-		age := max(0, now.Sub(j.Rec.since().Time()).Seconds())
+		age := max(0, now.Sub(j.Rec.Since().Time()).Seconds())
 		p := j.priority()
 		// Waiting work rises one step at most, so that the lowest never starves.
-		if p == Low && age > 45 {
-			p = Normal
+		if p == record.Low && age > 45 {
+			p = record.Normal
 		}
 		es[i].rank = int(p)
-		starving := p != Critical && j.starves(now)
+		starving := p != record.Critical && j.starves(now)
 		if j.guaranteed && !starving {
 			es[i].rank += 10
 		}
@@ -82,7 +83,7 @@
 			es[i].rank = -1
 		case starving:
 			es[i].rank += 40
-		case p == Critical:
+		case p == record.Critical:
 			es[i].rank += 100
 		}
 		if starving {
@@ -94,9 +95,9 @@
 		// Among equals, what is soonest complete goes first: a job is worth
 		// nothing to its user until its last task is done. Waiting makes up
 		// for size.
-		if s.Shape != Service {
+		if s.Shape != record.Service {
 			takes := max(1, float64(s.Estimate))
-			if s.Shape == Gang && !b.readyWhereHeld(j) {
+			if s.Shape == record.Gang && !b.readyWhereHeld(j) {
 				takes += b.fetch(s)
 			}
 			es[i].size = float64(j.left()) * s.Need.Cores * takes / (1 + age/max(5, min(20, b.horizon(j)/2)))
--- a/internal/claim/recovery.go
+++ b/internal/claim/recovery.go
@@ -6,12 +6,13 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 )
 
 // Load fills the cluster state with the records found at a takeover. Their claims lapsed
 // with their leader; their places stay until a report, a lapse or the cloud says
 // what became of them.
-func (b *ClusterState) Load(recs map[ids.Job]*Record, stamps map[ids.Job]ids.Revision, at ids.Revision, now time.Time) {
+func (b *ClusterState) Load(recs map[ids.Job]*record.Record, stamps map[ids.Job]ids.Revision, at ids.Revision, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	// News may have come before the list: what is not in it is kept only if it
@@ -39,22 +40,22 @@
 	b.unlist(j)
 }
 
-func (b *ClusterState) addJob(r *Record, stamp ids.Revision, now time.Time) *Job {
+func (b *ClusterState) addJob(r *record.Record, stamp ids.Revision, now time.Time) *Job {
 	j := &Job{Rec: *r, stamp: stamp, places: map[int]*Place{}, tries: map[int]*retry{},
 		settled: map[taskAttempt]uint64{}, version: r.Seq, saved: r.Seq, known: now}
 	j.lasted = r.Attempt > 0 // an earlier leader knew more
 	if j.version == 0 {
 		j.version, j.saved = 1, 1
 	}
-	if b.cancellations[r.Spec.ID] > 0 && j.Rec.Status.May(Cancelling) {
-		j.Rec.Status = Cancelling
+	if b.cancellations[r.Spec.ID] > 0 && j.Rec.Status.May(record.Cancelling) {
+		j.Rec.Status = record.Cancelling
 	}
 	b.jobs[r.Spec.ID] = j
 	b.queue(j)
-	r.eachPlace(func(i int, at spot) {
-		b.roster.Ensure(at.machine, now, b.trustSilence)
-		b.putPlace(&Place{Job: j, Index: i, Machine: at.machine, Session: at.session, Attempt: at.attempt,
-			Token: at.token, sent: true, since: now, stopping: j.cancelled(), why: "cancelled"})
+	r.EachPlace(func(i int, at record.Location) {
+		b.roster.Ensure(at.Machine, now, b.trustSilence)
+		b.putPlace(&Place{Job: j, Index: i, Machine: at.Machine, Session: at.Session, Attempt: at.Attempt,
+			Token: at.Token, sent: true, since: now, stopping: j.cancelled(), why: "cancelled"})
 	})
 	j.Rec.Places = nil
 	b.joinPipelines(j)
@@ -70,7 +71,7 @@
 
 // Learn takes in what another controller wrote: a new job or a cancellation.
 // rec is nil when the live record went away.
-func (b *ClusterState) Learn(id ids.Job, stamp ids.Revision, rec *Record, now time.Time) {
+func (b *ClusterState) Learn(id ids.Job, stamp ids.Revision, rec *record.Record, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	j := b.jobs[id]
@@ -107,9 +108,9 @@
 }
 
 // adopt takes over another controller's write on a known job.
-func (b *ClusterState) adopt(j *Job, stamp ids.Revision, rec *Record) {
+func (b *ClusterState) adopt(j *Job, stamp ids.Revision, rec *record.Record) {
 	j.stamp = stamp
-	if rec.Status == Cancelling {
+	if rec.Status == record.Cancelling {
 		b.cancelTold(j)
 	}
 	b.touch(j)
--- a/internal/claim/repair.go
+++ b/internal/claim/repair.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -29,24 +30,24 @@
 	}
 	for _, p := range group {
 		if p.wait != nil {
-			if conflict.Has(WaitKey(p.wait.id())) && !c.repairMove(ctx, p) {
+			if conflict.Has(record.WaitKey(p.wait.id())) && !c.repairMove(ctx, p) {
 				return
 			}
 			continue
 		}
 		id := p.job.Rec.Spec.ID
-		if conflict.Has(CancelKey(id)) && !c.readCancellation(ctx, id) {
+		if conflict.Has(record.CancelKey(id)) && !c.readCancellation(ctx, id) {
 			return
 		}
-		if !conflict.Has(JobKey(id)) && !conflict.Has(EndKey(id)) {
+		if !conflict.Has(record.JobKey(id)) && !conflict.Has(record.EndKey(id)) {
 			continue
 		}
-		live, found, err := c.State.Get(ctx, JobKey(id), state.Urgent)
+		live, found, err := c.State.Get(ctx, record.JobKey(id), state.Urgent)
 		if err != nil {
 			return
 		}
 		if found {
-			rec, err := Decode(live.Value)
+			rec, err := record.Decode(live.Value)
 			if err != nil {
 				slog.Error("unreadable record", "job", id, "err", err)
 				return
@@ -66,7 +67,7 @@
 			}
 			continue
 		}
-		_, found, err = c.State.Get(ctx, EndKey(id), state.Urgent)
+		_, found, err = c.State.Get(ctx, record.EndKey(id), state.Urgent)
 		if err != nil {
 			return
 		}
--- a/internal/claim/reservations.go
+++ b/internal/claim/reservations.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -20,7 +21,7 @@
 	if begun := j.lasted && j.Rec.Attempt > 0; begun || len(j.places) > 0 || j.Rec.Finished.Len() > 0 {
 		return false
 	}
-	waitsSince := j.Rec.since().Time()
+	waitsSince := j.Rec.Since().Time()
 	if j.emptied.After(waitsSince) {
 		waitsSince = j.emptied
 	}
@@ -40,7 +41,7 @@
 // work stops others instead; but on the dearest machines all work may be high: each
 // that ends is followed by a gang of one, and one that needs two at once never begins.
 func (j *Job) wantsAside(n int, now time.Time) bool {
-	if j.priority() >= High && (n < 2 || j.Rec.Spec.Shape != Gang) {
+	if j.priority() >= record.High && (n < 2 || j.Rec.Spec.Shape != record.Gang) {
 		return false
 	}
 	return !j.suspect() && j.starves(now) && now.Sub(j.aside) >= asideAgain
@@ -107,7 +108,7 @@
 		return false
 	}
 	until := now.Add(asideFor)
-	if j.priority() >= High {
+	if j.priority() >= record.High {
 		until = now.Add(2 * asideFor) // what runs there runs long
 	}
 	for _, c := range cs[:n] {
@@ -126,7 +127,7 @@
 // other job one, on a machine that was set aside for it if there is one.
 func (b *ClusterState) keepForNow(j *Job, fresh []*Place) {
 	until := time.Now().Add(keptFor)
-	if j.Rec.Spec.Shape == Gang {
+	if j.Rec.Spec.Shape == record.Gang {
 		for _, p := range fresh {
 			p.keptUntil = until
 		}
@@ -148,7 +149,7 @@
 	longest := time.Duration(0)
 	for p := range h.places {
 		s := &p.Job.Rec.Spec
-		if s.Shape == Service {
+		if s.Shape == record.Service {
 			continue
 		}
 		since := p.ranSince
--- a/internal/claim/returns.go
+++ b/internal/claim/returns.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -89,7 +90,7 @@
 // before.
 func (b *ClusterState) movable(m *worker.Machine, si *silence) bool {
 	for p := range b.placesOn(m.Name) {
-		if s := &p.Job.Rec.Spec; s.Shape != Service || s.Zone != "" || !p.Job.claimable() {
+		if s := &p.Job.Rec.Spec; s.Shape != record.Service || s.Zone != "" || !p.Job.claimable() {
 			continue
 		}
 		zs := b.zones(p.Job)
--- a/internal/claim/scale_test.go
+++ b/internal/claim/scale_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -56,7 +57,7 @@
 		return b.machinesExamined - before
 	}
 	add := func(id, tasks int, cores float64) {
-		r := rec(ids.Job(fmt.Sprintf("job-%d", id)), "blue", Normal, tasks, cores)
+		r := rec(ids.Job(fmt.Sprintf("job-%d", id)), "blue", record.Normal, tasks, cores)
 		r.Spec.Image = fmt.Sprint("image-", id%20)
 		b.Learn(r.Spec.ID, ids.Revision(id+1), r, now)
 	}
@@ -103,7 +104,7 @@
 	now := time.Now()
 	b := fleet(t, 40)
 	for i := range 30 {
-		r := rec(ids.Job(fmt.Sprintf("job-%d", i)), "blue", Normal, 7, 1)
+		r := rec(ids.Job(fmt.Sprintf("job-%d", i)), "blue", record.Normal, 7, 1)
 		r.Spec.Image = fmt.Sprint("image-", i%5)
 		b.Learn(r.Spec.ID, ids.Revision(i+1), r, now)
 	}
@@ -169,7 +170,7 @@
 	for _, machines := range []int{400, largestFleet} {
 		b := fleet(t, machines)
 		for i := range 300 {
-			r := rec(ids.Job(fmt.Sprintf("job-%d", i)), "blue", Normal, machines/100, 1)
+			r := rec(ids.Job(fmt.Sprintf("job-%d", i)), "blue", record.Normal, machines/100, 1)
 			r.Spec.Image = fmt.Sprint("image-", i)
 			b.Learn(r.Spec.ID, ids.Revision(i+1), r, now)
 		}
@@ -191,17 +192,17 @@
 	now := time.Now()
 	b := fleet(t, largestFleet)
 	b.set.Params.State.ValueKB = 56 // as much as a transaction carries
-	b.Learn("job-1", 1, rec("job-1", "blue", Normal, 4*largestFleet, 1), now)
+	b.Learn("job-1", 1, rec("job-1", "blue", record.Normal, 4*largestFleet, 1), now)
 	j := b.jobs["job-1"]
 	for range 20 {
 		planAll(b, now)
-		record := j.Rec
-		record.Places = packPlaces(j.places)
-		raw, fits := record.Encode(int(b.set.Params.State.ValueKB * 1024))
+		stored := j.Rec
+		stored.Places = packPlaces(j.places)
+		raw, fits := stored.Encode(int(b.set.Params.State.ValueKB * 1024))
 		if !fits {
 			t.Fatalf("the record of %d places does not fit", len(j.places))
 		}
-		j.measured(record.Places, len(raw))
+		j.measured(stored.Places, len(raw))
 		b.store()
 	}
 	if len(j.places) < largestFleet {
@@ -238,11 +239,11 @@
 	for _, machines := range []int{400, largestFleet} {
 		now := time.Now()
 		last := fleet(t, machines)
-		last.Learn("job-1", 1, rec("job-1", "blue", Normal, machines, 1), now)
+		last.Learn("job-1", 1, rec("job-1", "blue", record.Normal, machines, 1), now)
 		planAll(last, now)
 		hints, _ := last.Hints(HintMark{})
-		record := last.jobs["job-1"].Rec
-		record.Places = packPlaces(last.jobs["job-1"].places)
+		stored := last.jobs["job-1"].Rec
+		stored.Places = packPlaces(last.jobs["job-1"].places)
 
 		next := testBook()
 		known := map[ids.Machine]Hint{}
@@ -250,7 +251,7 @@
 			known[hint.Name] = hint
 		}
 		next.Seed(known, now)
-		next.Load(map[ids.Job]*Record{"job-1": &record}, map[ids.Job]ids.Revision{"job-1": 1}, 1, now)
+		next.Load(map[ids.Job]*record.Record{"job-1": &stored}, map[ids.Job]ids.Revision{"job-1": 1}, 1, now)
 		questions, rounds := 0, 0
 		for ; rounds < 1000; rounds++ {
 			now = now.Add(101 * time.Millisecond)
@@ -284,7 +285,7 @@
 	now := time.Now()
 	b := fleet(t, largestFleet)
 	for i := range largestFleet / 30 {
-		r := rec(ids.Job(fmt.Sprintf("job-%d", i)), "blue", Normal, 200, 1)
+		r := rec(ids.Job(fmt.Sprintf("job-%d", i)), "blue", record.Normal, 200, 1)
 		r.Spec.Image = fmt.Sprint("image-", i%20)
 		b.Learn(r.Spec.ID, ids.Revision(i+1), r, now)
 	}
@@ -293,8 +294,8 @@
 		t.Fatalf("%d tasks fill the fleet", placed)
 	}
 	const urgent = 150
-	r := rec("job-900000", "blue", Critical, urgent, 1)
-	r.Spec.Shape, r.Spec.Image = Service, "image-new"
+	r := rec("job-900000", "blue", record.Critical, urgent, 1)
+	r.Spec.Shape, r.Spec.Image = record.Service, "image-new"
 	b.Learn(r.Spec.ID, 1, r, now)
 	before := b.machinesExamined
 	for pass := range 2*urgent + 10 {
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -10,6 +10,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/measure"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
 	"github.com/pebbletrail/pebbletrail/internal/quota"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 )
 
 // pass is what one planning pass has found out so far, so that jobs alike do
@@ -110,7 +111,7 @@
 // claim places what it can of one job.
 func (b *ClusterState) claim(j *Job, ps *pass) {
 	s := &j.Rec.Spec
-	if s.Shape == Gang {
+	if s.Shape == record.Gang {
 		b.claimGang(j, ps)
 		return
 	}
@@ -153,7 +154,7 @@
 			continue
 		}
 		at := v.pick(r)
-		if at != nil && j.priority() == Critical && !at.holds(b, s.Image) {
+		if at != nil && j.priority() == record.Critical && !at.holds(b, s.Image) {
 			// A fetch takes longer than stopping lesser work where the image
 			// is.
 			if host := b.roomWhereHeld(j, &ask, ps); host != "" {
@@ -200,7 +201,7 @@
 // was ever placed under that. A record that had to name an attempt for every few
 // tasks would hold a fraction of them.
 func (j *Job) goesOn(i int) bool {
-	return j.Rec.Spec.Shape == Array && j.slice.attempt == j.Rec.Attempt && j.Rec.Attempt > 0 && i > j.slice.top
+	return j.Rec.Spec.Shape == record.Array && j.slice.attempt == j.Rec.Attempt && j.Rec.Attempt > 0 && i > j.slice.top
 }
 
 func (b *ClusterState) placed(j *Job, n int) {
@@ -244,7 +245,7 @@
 // outranks tells whether a reservation's job still goes before j.
 func (b *ClusterState) outranks(id ids.Job, j *Job, now time.Time) bool {
 	h := b.jobs[id]
-	return h != nil && h.claimable() && (h.priority() >= j.priority() || h.starves(now) && j.priority() < Critical)
+	return h != nil && h.claimable() && (h.priority() >= j.priority() || h.starves(now) && j.priority() < record.Critical)
 }
 
 func (b *ClusterState) place(j *Job, i int, a ids.Attempt, h *host, now time.Time) {
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -7,6 +7,7 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/measure"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -152,7 +153,7 @@
 // machine where it had ended. Of other jobs every start has a number of its own; and
 // what is done is done.
 func (b *ClusterState) ambiguous(j *Job, rep *worker.Report, pc *worker.Piece) bool {
-	return j.Rec.Spec.Shape == Gang && rep.Token < b.first && !(pc.Status == worker.Ended && pc.Cause == worker.CauseDone)
+	return j.Rec.Spec.Shape == record.Gang && rep.Token < b.first && !(pc.Status == worker.Ended && pc.Cause == worker.CauseDone)
 }
 
 // ordersFor repeats, in a beat's answer, what the machine still has to do.
@@ -226,7 +227,7 @@
 	if p.status != pc.Status && pc.Status == worker.Running {
 		p.ranSince = now
 	}
-	if p.status != pc.Status && p.Job.Rec.Spec.Shape == Gang {
+	if p.status != pc.Status && p.Job.Rec.Spec.Shape == record.Gang {
 		for _, o := range p.Job.places {
 			if !o.sent {
 				b.owe(o) // it waited for this one's image
@@ -264,7 +265,7 @@
 		j.Rec.Finished.Add(i)
 		delete(j.failed.on, m.Name)
 		b.cleared(j)
-		if j.Rec.Spec.Shape == Gang {
+		if j.Rec.Spec.Shape == record.Gang {
 			// A gang completes as one.
 			for n := range j.Rec.Spec.Tasks {
 				j.Rec.Finished.Add(n)
@@ -343,7 +344,7 @@
 			sent: true, seen: true, status: pc.Status, since: time.Now()}
 		j.Rec.Attempt = max(j.Rec.Attempt, k.attempt)
 		b.putPlace(p)
-		if j.cancelled() || j.Rec.Finished.Has(k.task.Index) || j.Rec.Spec.Shape == Gang {
+		if j.cancelled() || j.Rec.Finished.Has(k.task.Index) || j.Rec.Spec.Shape == record.Gang {
 			b.stop(p, 0, "not expected there")
 		} else {
 			b.note(j, "task %d found on %s and kept", p.Index, m.Name)
--- a/internal/claim/shards_test.go
+++ b/internal/claim/shards_test.go
@@ -18,6 +18,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/intake"
 	"github.com/pebbletrail/pebbletrail/internal/quota"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
@@ -50,7 +51,7 @@
 			for i := range machines {
 				hosts = append(hosts, fmt.Sprintf("m%d-%d", shard, i))
 			}
-			c.put(claim.KeysOf(ids.Shard(shard), c.count).Hires()+"first", map[string]any{"hire": "first", "hosts": hosts})
+			c.put(record.KeysOf(ids.Shard(shard), c.count).Hires()+"first", map[string]any{"hire": "first", "hosts": hosts})
 		}
 		for _, name := range shardNodes {
 			c.startNode(name)
@@ -111,7 +112,7 @@
 	c.mu.Lock()
 	c.up[name] = n
 	c.mu.Unlock()
-	go st.Watch(ctx, claim.KeysOf(0, c.count).Generation())
+	go st.Watch(ctx, record.KeysOf(0, c.count).Generation())
 	go n.shards.Run(ctx)
 	return n
 }
@@ -151,7 +152,7 @@
 	defer p.cluster.mu.Unlock()
 	return p.cluster.up[string(node)] != nil
 }
-func (shardPeers) NotifyLeader(ids.Job, ids.Revision, *claim.Record, json.RawMessage) <-chan struct{} {
+func (shardPeers) NotifyLeader(ids.Job, ids.Revision, *record.Record, json.RawMessage) <-chan struct{} {
 	done := make(chan struct{})
 	close(done)
 	return done
@@ -314,7 +315,7 @@
 	// and that reports already, belongs to whom the answer will name.
 	shardScenario(t, 1, func(t *testing.T, c *shardCluster) {
 		time.Sleep(5 * time.Second)
-		key := claim.KeysOf(2, c.count).Hires() + "h-s2-1-1"
+		key := record.KeysOf(2, c.count).Hires() + "h-s2-1-1"
 		c.put(key, map[string]any{"hire": "h-s2-1-1", "count": 1})
 		for _, name := range []string{"hired", "stranger"} {
 			k := c.worker(name, "north")
--- a/internal/claim/stored_forms_test.go
+++ b/internal/claim/stored_forms_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"os"
 	"path/filepath"
 	"testing"
@@ -16,13 +17,13 @@
 	// that version may have stored it, and may read it again.
 	type form struct {
 		name   string
-		decode func(json.RawMessage) (*Record, error)
-		encode func(*Record, int) (json.RawMessage, bool)
+		decode func(json.RawMessage) (*record.Record, error)
+		encode func(*record.Record, int) (json.RawMessage, bool)
 	}
 	for _, f := range []form{
-		{"waiting.json", DecodeWaiting, (*Record).EncodeWaiting},
-		{"ready.json", Decode, (*Record).Encode},
-		{"ended-by-need.json", Decode, (*Record).EncodeFinal},
+		{"waiting.json", record.DecodeWaiting, (*record.Record).EncodeWaiting},
+		{"ready.json", record.Decode, (*record.Record).Encode},
+		{"ended-by-need.json", record.Decode, (*record.Record).EncodeFinal},
 	} {
 		want, err := os.ReadFile(filepath.Join(firstPipelines, f.name))
 		if err != nil {
@@ -46,19 +47,19 @@
 func TestACancellationStoredApartReadsBackAndIsNoRecordToOthers(t *testing.T) {
 	// Guards against a version that knows nothing of such keys taking one for the
 	// record of a job, and against a node that can't read what another has stored.
-	raw := Cancellation{At: 1700000000000, Writer: "a.1"}.Encode()
-	if _, err := Decode(raw); err == nil {
+	raw := record.Cancellation{At: 1700000000000, Writer: "a.1"}.Encode()
+	if _, err := record.Decode(raw); err == nil {
 		t.Errorf("%s is taken for a record", raw)
 	}
-	back, err := DecodeCancellation(raw)
+	back, err := record.DecodeCancellation(raw)
 	if err != nil || back.At != 1700000000000 || back.Writer != "a.1" {
 		t.Errorf("read back as %+v, %v", back, err)
 	}
-	if id, kind := keyed(CancelKey("job-7")); id != "job-7" || kind != storedCancellation {
+	if id, kind := record.ParseKey(record.CancelKey("job-7")); id != "job-7" || kind != record.StoredCancellation {
 		t.Errorf("its key is read as that of %s, %v", id, kind)
 	}
 	for _, wrong := range []string{`[]`, `{}`, `[1]`, `x`} {
-		if _, err := DecodeCancellation(json.RawMessage(wrong)); err == nil {
+		if _, err := record.DecodeCancellation(json.RawMessage(wrong)); err == nil {
 			t.Errorf("%s is taken for a cancellation", wrong)
 		}
 	}
--- a/internal/claim/takeover.go
+++ b/internal/claim/takeover.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -148,16 +149,16 @@
 			wait(ctx, 100*time.Millisecond)
 			continue
 		}
-		recs, waits, stamps := map[ids.Job]*Record{}, map[ids.Job]*Record{}, map[ids.Job]ids.Revision{}
+		recs, waits, stamps := map[ids.Job]*record.Record{}, map[ids.Job]*record.Record{}, map[ids.Job]ids.Revision{}
 		for _, e := range jobs {
-			into, decode := recs, Decode
-			id, kind := keyed(e.Key)
+			into, decode := recs, record.Decode
+			id, kind := record.ParseKey(e.Key)
 			switch {
-			case kind == waitingRecord:
-				into, decode = waits, DecodeWaiting
+			case kind == record.WaitingRecord:
+				into, decode = waits, record.DecodeWaiting
 			case ids.ShardOf(id, p.Set.Shards()) != p.shard:
 				continue
-			case kind == storedCancellation:
+			case kind == record.StoredCancellation:
 				t.Cluster.LearnCancellation(id, e.Revision, false)
 				continue
 			}
--- a/internal/claim/team_limits.go
+++ b/internal/claim/team_limits.go
@@ -5,10 +5,11 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/quota"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 )
 
 // quotaFor is how many more tasks of a job its team's limits allow.
-func (b *ClusterState) quotaFor(s *Spec, want int) int {
+func (b *ClusterState) quotaFor(s *record.Spec, want int) int {
 	return b.quota.Left(s.Team).Count(s.Need, want)
 }
 
--- a/internal/claim/test_cluster_test.go
+++ b/internal/claim/test_cluster_test.go
@@ -20,6 +20,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/intake"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
@@ -159,7 +160,7 @@
 	w.mu.Lock()
 	w.nodes[name] = n
 	w.mu.Unlock()
-	go st.Watch(ctx, claim.KeysOf(0, 1).Generation())
+	go st.Watch(ctx, record.KeysOf(0, 1).Generation())
 	go n.pool.Run(ctx)
 	return n
 }
@@ -223,7 +224,7 @@
 
 // NotifyLeader passes writes on: to its own pool at once, to the others as fast as the
 // network is.
-func (n *node) NotifyLeader(id ids.Job, stamp ids.Revision, rec *claim.Record, raw json.RawMessage) <-chan struct{} {
+func (n *node) NotifyLeader(id ids.Job, stamp ids.Revision, rec *record.Record, raw json.RawMessage) <-chan struct{} {
 	done := make(chan struct{})
 	if lag := n.w.lag.Load(); lag != nil && n.pool.Cluster() == nil {
 		go func() {
@@ -241,7 +242,7 @@
 	return done
 }
 
-func (n *node) tell(id ids.Job, stamp ids.Revision, rec *claim.Record) {
+func (n *node) tell(id ids.Job, stamp ids.Revision, rec *record.Record) {
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
 	for name, o := range n.w.nodes {
--- a/internal/claim/urgency_test.go
+++ b/internal/claim/urgency_test.go
@@ -12,10 +12,11 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/fake"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
-func waits(id ids.Job, p Priority, due ids.Seconds, on ...ids.Job) *Record {
+func waits(id ids.Job, p record.Priority, due ids.Seconds, on ...ids.Job) *record.Record {
 	r := rec(id, "red", p, 1, 1)
 	r.Spec.Awaits, r.Spec.Due = on, due
 	return r
@@ -27,14 +28,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := testBook()
 		now := time.Now()
-		b.Learn("job-1", 1, rec("job-1", "red", Low, 1, 1), now)
-		b.Learn("job-2", 2, rec("job-2", "red", Normal, 1, 1), now)
-		b.LearnWaiting("job-3", 3, waits("job-3", Low, 0, "job-1"), now)
+		b.Learn("job-1", 1, rec("job-1", "red", record.Low, 1, 1), now)
+		b.Learn("job-2", 2, rec("job-2", "red", record.Normal, 1, 1), now)
+		b.LearnWaiting("job-3", 3, waits("job-3", record.Low, 0, "job-1"), now)
 		// The last is learned of before one in the middle.
-		b.LearnWaiting("job-5", 5, waits("job-5", High, 100, "job-4"), now)
-		b.LearnWaiting("job-4", 4, waits("job-4", Low, 0, "job-3"), now)
+		b.LearnWaiting("job-5", 5, waits("job-5", record.High, 100, "job-4"), now)
+		b.LearnWaiting("job-4", 4, waits("job-4", record.Low, 0, "job-3"), now)
 		first := b.jobs["job-1"]
-		if first.priority() != High {
+		if first.priority() != record.High {
 			t.Errorf("the first has priority %s", first.priority())
 		}
 		// 100 s less three estimates of 10 s and fetches of 1 s.
@@ -45,7 +46,7 @@
 			t.Errorf("%d are ranked, or the first does not lead", len(ranked))
 		}
 		b.LearnWaiting("job-5", 9, nil, now)
-		if first.priority() != Low || !first.inherited.Deadline.IsZero() {
+		if first.priority() != record.Low || !first.inherited.Deadline.IsZero() {
 			t.Errorf("with the last gone the first still has priority %s and %v", first.priority(), first.inherited.Deadline)
 		}
 	})
@@ -57,36 +58,36 @@
 	synctest.Test(t, func(t *testing.T) {
 		now := time.Now()
 		b := testBook()
-		recs, stamps := map[ids.Job]*Record{}, map[ids.Job]ids.Revision{}
+		recs, stamps := map[ids.Job]*record.Record{}, map[ids.Job]ids.Revision{}
 		job := func(n int) ids.Job { return ids.Job(fmt.Sprintf("job-%d", n)) }
 		for n := range 2 {
-			b.Learn(job(n), 1, rec(job(n), "red", Low, 1, 1), now)
+			b.Learn(job(n), 1, rec(job(n), "red", record.Low, 1, 1), now)
 		}
 		// Two jobs a layer, each of which awaits both of the layer before. The estimates
 		// are such that no two paths take the same time.
 		for n := 2; n < 82; n++ {
-			r := waits(job(n), Priority(n%3), ids.Seconds(1e8-37*n%1000), job(n/2*2-2), job(n/2*2-1))
+			r := waits(job(n), record.Priority(n%3), ids.Seconds(1e8-37*n%1000), job(n/2*2-2), job(n/2*2-1))
 			r.Spec.Estimate = 1 + ids.Seconds(n%2)*ids.Seconds(math.Exp2(float64(n/2)))*1e-6
 			recs[job(n)], stamps[job(n)] = r, 1
 		}
-		b.Learn("job-100", 1, rec("job-100", "red", Low, 1, 1), now)
+		b.Learn("job-100", 1, rec("job-100", "red", record.Low, 1, 1), now)
 		for n := 101; n <= 5100; n++ {
-			recs[job(n)], stamps[job(n)] = waits(job(n), Low, 0, job(n-1)), 1
+			recs[job(n)], stamps[job(n)] = waits(job(n), record.Low, 0, job(n-1)), 1
 		}
 		b.LoadWaiting(recs, stamps, now)
-		b.LearnWaiting("job-90", 2, waits("job-90", Critical, 1e7, "job-80", "job-81"), now)
-		b.LearnWaiting("job-6000", 2, waits("job-6000", High, 100000, "job-5100"), now)
-		if p := b.jobs["job-0"].priority(); p != Critical {
+		b.LearnWaiting("job-90", 2, waits("job-90", record.Critical, 1e7, "job-80", "job-81"), now)
+		b.LearnWaiting("job-6000", 2, waits("job-6000", record.High, 100000, "job-5100"), now)
+		if p := b.jobs["job-0"].priority(); p != record.Critical {
 			t.Errorf("the ladder's first has priority %s", p)
 		}
 		first := b.jobs["job-100"]
 		// 100,000 s less the estimates of 10 s and fetches of 1 s of 5,001 jobs.
-		if left := first.inherited.Deadline.Sub(now); first.priority() != High || left != (100000-5001*11)*time.Second {
+		if left := first.inherited.Deadline.Sub(now); first.priority() != record.High || left != (100000-5001*11)*time.Second {
 			t.Errorf("the chain's first has priority %s and %v", first.priority(), left)
 		}
 		b.LearnWaiting("job-90", 9, nil, now)
 		b.cancel(first)
-		if _, cancelled := b.pipes.graph.Counts(); b.jobs["job-0"].priority() != High || cancelled != 5001 {
+		if _, cancelled := b.pipes.graph.Counts(); b.jobs["job-0"].priority() != record.High || cancelled != 5001 {
 			t.Errorf("the ladder's first has priority %s, %d of the chain are cancelled", b.jobs["job-0"].priority(), cancelled)
 		}
 	})
@@ -104,21 +105,21 @@
 		ctx := context.Background()
 		b := testBook()
 		c := NewCommitter(b, st, "a", 0)
-		recs, stamps := map[ids.Job]*Record{}, map[ids.Job]ids.Revision{}
+		recs, stamps := map[ids.Job]*record.Record{}, map[ids.Job]ids.Revision{}
 		for i := range 3000 {
 			live, over := ids.Job(fmt.Sprintf("job-%d", 10000+i/10)), ids.Job(fmt.Sprintf("job-%d", 20000+i/10))
 			id := ids.Job(fmt.Sprintf("job-%d", 30000+i))
 			if i%10 == 0 {
-				b.Learn(live, 1, rec(live, "red", Low, 1, 1), time.Now())
-				end := rec(over, "red", Low, 1, 1)
-				end.Status = Done
+				b.Learn(live, 1, rec(live, "red", record.Low, 1, 1), time.Now())
+				end := rec(over, "red", record.Low, 1, 1)
+				end.Status = record.Done
 				raw, _ := end.Encode(8192)
-				if _, err := st.Commit(ctx, state.Txn{Then: []state.Op{{Put: EndKey(over), Value: raw}}}, state.Urgent); err != nil {
+				if _, err := st.Commit(ctx, state.Txn{Then: []state.Op{{Put: record.EndKey(over), Value: raw}}}, state.Urgent); err != nil {
 					t.Fatal(err)
 				}
 				time.Sleep(5 * time.Millisecond)
 			}
-			recs[id], stamps[id] = waits(id, High, 100, live, over), 1
+			recs[id], stamps[id] = waits(id, record.High, 100, live, over), 1
 		}
 		b.LoadWaiting(recs, stamps, time.Now())
 		calls = 0
@@ -129,7 +130,7 @@
 		if got := len(b.ranked(time.Now())); got != 300 {
 			t.Errorf("%d jobs stand in line", got)
 		}
-		b.finally("job-10000", Done)
+		b.finally("job-10000", record.Done)
 		if ready, _ := b.pipes.graph.Counts(); ready != 10 {
 			t.Errorf("an end made %d ready, not 10", ready)
 		}
@@ -149,31 +150,31 @@
 		st := state.NewClient("state:1", n.Client("a"), state.NewBudget(1000, 1000, 1, 0.6))
 		ctx := context.Background()
 		old := fleet(t, 60)
-		r := rec("job-1", "blue", Normal, 300, 0.5)
+		r := rec("job-1", "blue", record.Normal, 300, 0.5)
 		old.Learn("job-1", 1, r, time.Now())
 		old.Plan(time.Now())
 		full := old.jobs["job-1"].Rec
-		full.Status, full.Places, full.Writer = Claimed, packPlaces(old.jobs["job-1"].places), "old"
+		full.Status, full.Places, full.Writer = record.Claimed, packPlaces(old.jobs["job-1"].places), "old"
 		for k := range 12 {
-			full.Trail = append(full.Trail, Event{What: fmt.Sprintf("event %d %s", k, strings.Repeat("x", 60))})
+			full.Trail = append(full.Trail, record.Event{What: fmt.Sprintf("event %d %s", k, strings.Repeat("x", 60))})
 		}
 		raw, ok := full.Encode(8192)
 		const lower = 520
 		if _, fits := full.Encode(lower); !ok || fits || len(old.jobs["job-1"].places) < 100 {
 			t.Fatalf("a record of %d bytes with %d places shows nothing", len(raw), len(old.jobs["job-1"].places))
 		}
-		epoch, err := st.Commit(ctx, state.Txn{Then: []state.Op{{Put: JobKey("job-1"), Value: raw}}}, state.Urgent)
+		epoch, err := st.Commit(ctx, state.Txn{Then: []state.Op{{Put: record.JobKey("job-1"), Value: raw}}}, state.Urgent)
 		if err != nil {
 			t.Fatal(err)
 		}
 		b := fleet(t, 60)
 		b.set.Params.State.ValueKB, b.set.Params.State.TxnOps = lower/1024.0, 4
 		s.SetLimits(lower, 4)
-		stored, err := Decode(raw)
+		stored, err := record.Decode(raw)
 		if err != nil {
 			t.Fatal(err)
 		}
-		b.Load(map[ids.Job]*Record{"job-1": stored}, map[ids.Job]ids.Revision{"job-1": ids.Revision(epoch)}, ids.Revision(epoch), time.Now())
+		b.Load(map[ids.Job]*record.Record{"job-1": stored}, map[ids.Job]ids.Revision{"job-1": ids.Revision(epoch)}, ids.Revision(epoch), time.Now())
 		c := NewCommitter(b, st, "a", 0)
 		j := b.jobs["job-1"]
 		open := len(j.places)
@@ -204,8 +205,8 @@
 			c.Step(ctx)
 			time.Sleep(time.Second)
 		}
-		if s.TooLarge > 0 || s.Value(EndKey("job-1")) == nil {
-			t.Errorf("%d writes were too large; after %d s the end is stored: %v", s.TooLarge, seconds, s.Value(EndKey("job-1")) != nil)
+		if s.TooLarge > 0 || s.Value(record.EndKey("job-1")) == nil {
+			t.Errorf("%d writes were too large; after %d s the end is stored: %v", s.TooLarge, seconds, s.Value(record.EndKey("job-1")) != nil)
 		}
 	})
 }
--- a/internal/claim/usage.go
+++ b/internal/claim/usage.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -76,7 +77,7 @@
 
 // redo counts work lost with a task that was stopped or vanished.
 func (b *ClusterState) redo(p *Place, cause string, now time.Time) {
-	if p.ranSince.IsZero() || p.Job.Rec.Spec.Shape == Service || b.spent.again == nil {
+	if p.ranSince.IsZero() || p.Job.Rec.Spec.Shape == record.Service || b.spent.again == nil {
 		return
 	}
 	s := &p.Job.Rec.Spec
--- a/internal/claim/waiting_test.go
+++ b/internal/claim/waiting_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 )
 
 // manyNeeds are the names of n jobs, which begin alike.
@@ -25,13 +26,13 @@
 	for _, needs := range [][]ids.Job{
 		{"job-1"}, {"job-1", "job-12"}, {"job-7", "job-0007", "job-70"}, {"job-3", "job-2", "job-1"}, manyNeeds(150),
 	} {
-		r := rec("job-9", "blue", Normal, 4, 1)
+		r := rec("job-9", "blue", record.Normal, 4, 1)
 		r.Spec.Awaits = needs
 		spelled, ok := r.EncodeWaiting(64 * 1024)
 		if !ok || !strings.Contains(string(spelled), `"awaits":["job-`) {
 			t.Fatalf("with room for it the record is %s", spelled)
 		}
-		var list []*Record // what the first version with pipelines reads
+		var list []*record.Record // what the first version with pipelines reads
 		if err := json.Unmarshal(spelled, &list); err != nil || len(list) != 1 {
 			t.Errorf("another form than the first version's: %s", spelled)
 		}
@@ -42,11 +43,11 @@
 			t.Errorf("%d names are not packed", len(needs))
 		}
 		for _, raw := range forms {
-			back, err := DecodeWaiting(raw)
+			back, err := record.DecodeWaiting(raw)
 			if err != nil || !slices.Equal(back.Spec.Awaits, needs) || back.Spec.ID != "job-9" || back.Spec.Tasks != 4 {
 				t.Errorf("%s is read back as %+v, %v", raw, back, err)
 			}
-			if _, err := Decode(raw); err == nil {
+			if _, err := record.Decode(raw); err == nil {
 				t.Errorf("read as a claimable job's: %s", raw)
 			}
 		}
@@ -55,7 +56,7 @@
 		}
 	}
 	for _, bad := range []string{`[]`, `{}`, `[null]`, `[{"spec":{}},"job-:1","x"]`, `[{"spec":{}},7]`, `["job-:1"]`} {
-		if r, err := DecodeWaiting(json.RawMessage(bad)); err == nil {
+		if r, err := record.DecodeWaiting(json.RawMessage(bad)); err == nil {
 			t.Errorf("%s is read as %+v", bad, r)
 		}
 	}
@@ -67,14 +68,14 @@
 	const limit = 2048
 	now := time.Now()
 	for _, c := range []struct {
-		needed Status
+		needed record.Status
 		needs  int
-	}{{Done, 150}, {Done, 100}, {Cancelled, 150}, {Cancelled, 100}} {
+	}{{record.Done, 150}, {record.Done, 100}, {record.Cancelled, 150}, {record.Cancelled, 100}} {
 		needed := c.needed
 		b := testBook()
 		b.set.Params.State.ValueKB = limit / 1024
 		committer := NewCommitter(b, nil, "a", 1)
-		r := rec("job-9", "blue", Normal, 4, 1)
+		r := rec("job-9", "blue", record.Normal, 4, 1)
 		r.Spec.Awaits = manyNeeds(c.needs)
 		if _, ok := r.EncodeWaiting(limit); !ok {
 			t.Fatalf("%d names do not fit", c.needs)
@@ -85,7 +86,7 @@
 			b.finally(need, needed)
 		}
 		var moves []pending
-		committer.waitingOnes(needed != Done, func(p pending) bool { moves = append(moves, p); return true })
+		committer.waitingOnes(needed != record.Done, func(p pending) bool { moves = append(moves, p); return true })
 		b.mu.Unlock()
 		if len(moves) != 1 {
 			t.Fatalf("%s: %d moves", needed, len(moves))
@@ -94,10 +95,10 @@
 		if len(raw) > limit {
 			t.Errorf("%s: %d bytes", needed, len(raw))
 		}
-		if needed == Done && float64(len(raw)) > limit*DescribedShare {
+		if needed == record.Done && float64(len(raw)) > limit*record.DescribedShare {
 			t.Errorf("%d bytes leave little room for places", len(raw))
 		}
-		if back, err := Decode(raw); err != nil || needed != Done && !strings.Contains(back.Trail[len(back.Trail)-1].What, "which was cancelled") {
+		if back, err := record.Decode(raw); err != nil || needed != record.Done && !strings.Contains(back.Trail[len(back.Trail)-1].What, "which was cancelled") {
 			t.Errorf("%s: read back as %+v, %v", needed, back, err)
 		}
 	}
--- a/internal/claim/yield.go
+++ b/internal/claim/yield.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 )
 
 // owing is room of a team's limit that lesser work of its own leaves to a job that
@@ -33,7 +34,7 @@
 // already counts as making way.
 func (b *ClusterState) yield(j *Job, n int, now time.Time) bool {
 	s := &j.Rec.Spec
-	if j.priority() < High || !b.Storing() || j.suspect() {
+	if j.priority() < record.High || !b.Storing() || j.suspect() {
 		return false
 	}
 	t, _ := b.set.Team(s.Team)
@@ -71,7 +72,7 @@
 			}
 		}
 	}
-	if k := left.Count(s.Need, n); k > 0 && (k == n || s.Shape != Gang) {
+	if k := left.Count(s.Need, n); k > 0 && (k == n || s.Shape != record.Gang) {
 		b.owed[s.Team] = owing{job: j, need: s.Need.Times(float64(k)), until: now.Add(owedFor)}
 	}
 	sort.Slice(victims, func(x, y int) bool {
--- a/internal/claim/zoning.go
+++ b/internal/claim/zoning.go
@@ -1,10 +1,10 @@
 package claim
 
-import ()
+import "github.com/pebbletrail/pebbletrail/internal/record"
 
 // zoning counts a job's tasks by zone, for the rules on where one more may go.
 type zoning struct {
-	s       *Spec
+	s       *record.Spec
 	count   map[string]int
 	unknown int
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/fake"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
@@ -35,9 +36,9 @@
 	}
 	for _, op := range ops {
 		if op.Put != "" {
-			s.names[strings.TrimPrefix(op.Put, claim.KeysOf(0, 1).Hires())] = true
+			s.names[strings.TrimPrefix(op.Put, record.KeysOf(0, 1).Hires())] = true
 		} else {
-			delete(s.names, strings.TrimPrefix(op.Remove, claim.KeysOf(0, 1).Hires()))
+			delete(s.names, strings.TrimPrefix(op.Remove, record.KeysOf(0, 1).Hires()))
 		}
 	}
 	return nil
@@ -52,8 +53,8 @@
 	return s
 }
 
-func job(id ids.Job, tasks int) *claim.Record {
-	return claim.NewRecord(claim.Spec{ID: id, Class: "c", Team: "red", Shape: claim.Array, Tasks: tasks, Estimate: 100,
+func job(id ids.Job, tasks int) *record.Record {
+	return record.New(record.Spec{ID: id, Class: "c", Team: "red", Shape: record.Array, Tasks: tasks, Estimate: 100,
 		Need: placement.Room{Cores: 4, RAM: 4}}, ids.WallOf(time.Now()), "user")
 }
 
@@ -62,7 +63,7 @@
 	n.Listen("cloud:1", c)
 	b := claim.NewClusterState(set(), "w", 7, time.Now())
 	s := &shelf{names: map[string]bool{}}
-	return n, c, b, s, &Provisioner{Cloud: NewCloud("cloud:1", n.Client("a"), 50), Cluster: b, Store: s, Keys: claim.KeysOf(0, 1), Gen: 7, ListEvery: time.Second}
+	return n, c, b, s, &Provisioner{Cloud: NewCloud("cloud:1", n.Client("a"), 50), Cluster: b, Store: s, Keys: record.KeysOf(0, 1), Gen: 7, ListEvery: time.Second}
 }
 
 func TestAHireIsStoredBeforeItIsSentAndNeverDoubled(t *testing.T) {
--- a/internal/fleet/large_fleet_test.go
+++ b/internal/fleet/large_fleet_test.go
@@ -10,6 +10,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -49,9 +50,9 @@
 			}
 		}
 		for i := range 20 {
-			spec := claim.Spec{ID: ids.Job(fmt.Sprint("job-", i)), Class: "c", Team: "red", Zone: "south", Shape: claim.Service,
+			spec := record.Spec{ID: ids.Job(fmt.Sprint("job-", i)), Class: "c", Team: "red", Zone: "south", Shape: record.Service,
 				Tasks: 1, Need: placement.Room{Cores: 4, RAM: 4}}
-			cluster.Learn(spec.ID, 1, claim.NewRecord(spec, ids.WallOf(time.Now()), "user"), time.Now())
+			cluster.Learn(spec.ID, 1, record.New(spec, ids.WallOf(time.Now()), "user"), time.Now())
 			began, before := time.Now(), len(cloud.Hires())
 			for len(cloud.Hires()) == before && time.Since(began) < 10*time.Second {
 				step()
--- a/internal/fleet/ownership_test.go
+++ b/internal/fleet/ownership_test.go
@@ -10,6 +10,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -39,7 +40,7 @@
 		ctx := context.Background()
 		_, cloud, cluster, _, p := setup(2)
 		store := &ownHires{shelf{names: map[string]bool{}}, map[string]string{}}
-		p.Store, p.Keys, p.Shard = store, claim.KeysOf(1, 3), 1
+		p.Store, p.Keys, p.Shard = store, record.KeysOf(1, 3), 1
 		p.Owns = func(ids.Machine) bool { return true }
 		p.OthersLack = func() (time.Duration, int) { return 0, 1 }
 		cluster.Learn("job-1", 1, job("job-1", 1), time.Now())
--- a/internal/fleet/provisioner.go
+++ b/internal/fleet/provisioner.go
@@ -10,6 +10,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -38,7 +39,7 @@
 	// So it is asked right before a deletion or hire is sent.
 	Sure func() bool
 	// Keys are where the shard's hires are stored.
-	Keys claim.ShardKeys
+	Keys record.ShardKeys
 	// Shard is told apart from others by its hires: where there are several, a hire stays
 	// stored with the names of its machines until the last of them is gone. Owns tells
 	// whether a listed machine is this shard's; nil: all are.
--- a/internal/intake/awaits_reads_test.go
+++ b/internal/intake/awaits_reads_test.go
@@ -9,9 +9,9 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/fake"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -38,11 +38,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				r := newRegion(t)
 				r.told("job-77", "404")
-				r.put("job-1", claim.Done)
-				r.put("job-2", claim.Queued)
+				r.put("job-1", record.Done)
+				r.put("job-2", record.Queued)
 				end := trouble(r)
 				for _, d := range r.services {
-					go d.State.Watch(t.Context(), claim.KeysOf(0, 1).Generation())
+					go d.State.Watch(t.Context(), record.KeysOf(0, 1).Generation())
 				}
 				later(t, r.nodes["b"], awaits("job-10", []string{"job-404"}))
 				later(t, r.nodes["b"], awaits("job-11", []string{"job-1", "job-2"}))
@@ -85,13 +85,13 @@
 		var names []string
 		for i := range 1500 {
 			id := ids.Job(fmt.Sprintf("job-%d", i))
-			r.put(id, claim.Done)
+			r.put(id, record.Done)
 			if i%10 == 0 { // the last digit is the least there is
 				names = append(names, string(id))
 			}
 		}
 		r.services["b"].State = state.NewClient("state:1", r.net.Client("b"), state.NewBudget(50, 50, 5, 0.45))
-		r.services["b"].Jobs = state.NewMirror(r.services["b"].State, claim.JobPrefix, time.Second)
+		r.services["b"].Jobs = state.NewMirror(r.services["b"].State, record.JobPrefix, time.Second)
 		calls := 0
 		r.net.SetRule(func(from, _ string, _ *http.Request, _ []byte) fake.Fate {
 			if from == "b" {
@@ -122,9 +122,9 @@
 		var names []string
 		for i := range 600 {
 			id := ids.Job(fmt.Sprintf("job-%06d", 1000+i*17))
-			how := claim.Done
+			how := record.Done
 			if i%4 == 0 {
-				how = claim.Queued
+				how = record.Queued
 			}
 			r.put(id, how)
 			names = append(names, string(id))
@@ -133,13 +133,13 @@
 		if code, status := r.submit("a", awaits("job-900000", names)); code != 201 || status != "pending" {
 			t.Errorf("150 of 600 not done: %d %s", code, status)
 		}
-		rec, err := claim.DecodeWaiting(r.store.Value(claim.WaitKey("job-900000")))
+		rec, err := record.DecodeWaiting(r.store.Value(record.WaitKey("job-900000")))
 		if err != nil || len(rec.Spec.Awaits) != 150 {
 			t.Fatalf("kept as %v, %v", rec, err)
 		}
 		for i := range 300 {
 			id := fmt.Sprintf("job-%06d", 500000+i*17)
-			r.put(ids.Job(id), claim.Queued)
+			r.put(ids.Job(id), record.Queued)
 			names = append(names, id)
 		}
 		out := call(r.nodes["b"], "POST", "/v2/runs", awaits("job-900001", names))
@@ -187,15 +187,15 @@
 		// One that is cancelled already by another one's cancellation, which stays as it is.
 		cancel("a", "job-5", "cancelled")
 		cancel("b", "job-3", "cancelled")
-		if r.keyOf("job-3") != claim.WaitKey("job-3") {
+		if r.keyOf("job-3") != record.WaitKey("job-3") {
 			t.Errorf("stored at %s", r.keyOf("job-3"))
 		}
 		// One that runs, which others await.
-		r.put("job-1", claim.Cancelling)
+		r.put("job-1", record.Cancelling)
 		r.told("job-4", "cancelled")
 		// One that is done: its followers go on.
-		r.put("job-20", claim.Done)
-		r.put("job-21", claim.Queued, "job-20")
+		r.put("job-20", record.Done)
+		r.put("job-21", record.Queued, "job-20")
 		cancel("a", "job-20", "done")
 		r.told("job-21", "pending")
 	})
--- a/internal/intake/awaits_test.go
+++ b/internal/intake/awaits_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"testing/synctest"
 
-	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/fake"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -25,7 +25,7 @@
 			}
 			r.told("job-9", "404")
 		}
-		r.put("job-1", claim.Queued)
+		r.put("job-1", record.Queued)
 		for k, c := range []struct {
 			names any
 			want  []ids.Job
@@ -36,9 +36,9 @@
 			if code, status := r.submit("a", awaits(string(id), c.names)); code != 201 || status != "pending" {
 				t.Errorf("awaits %v gets %d %s", c.names, code, status)
 			}
-			key := claim.JobKey(id)
+			key := record.JobKey(id)
 			if c.want != nil {
-				key = claim.WaitKey(id)
+				key = record.WaitKey(id)
 			}
 			if r.keyOf(id) != key {
 				t.Errorf("awaits %v is stored at %s", c.names, r.keyOf(id))
@@ -46,7 +46,7 @@
 			if c.want == nil {
 				continue
 			}
-			if rec, err := claim.DecodeWaiting(r.store.Value(key)); err != nil || !slices.Equal(rec.Spec.Awaits, c.want) {
+			if rec, err := record.DecodeWaiting(r.store.Value(key)); err != nil || !slices.Equal(rec.Spec.Awaits, c.want) {
 				t.Errorf("awaits %v is kept as %v, %v", c.names, rec, err)
 			}
 		}
@@ -56,7 +56,7 @@
 // namedJob is a job that was accepted before, in some state.
 type namedJob struct {
 	id    ids.Job
-	how   claim.Status
+	how   record.Status
 	needs []ids.Job
 }
 
@@ -68,23 +68,23 @@
 	status string
 	at     string
 }{
-	"queued":                    {[]namedJob{{"job-1", claim.Queued, nil}}, []string{"job-1"}, 201, "pending", claim.WaitPrefix},
-	"claimed":                   {[]namedJob{{"job-1", claim.Claimed, nil}}, []string{"job-1"}, 201, "pending", claim.WaitPrefix},
-	"done":                      {[]namedJob{{"job-1", claim.Done, nil}}, []string{"job-1"}, 201, "pending", claim.JobPrefix},
-	"cancelled":                 {[]namedJob{{"job-1", claim.Cancelled, nil}}, []string{"job-1"}, 201, "cancelled", claim.EndPrefix},
-	"cancelling":                {[]namedJob{{"job-1", claim.Cancelling, nil}}, []string{"job-1"}, 201, "cancelled", claim.EndPrefix},
-	"waiting":                   {[]namedJob{{"job-1", claim.Queued, nil}, {"job-2", claim.Queued, []ids.Job{"job-1"}}}, []string{"job-2"}, 201, "pending", claim.WaitPrefix},
-	"waits for a cancelled one": {[]namedJob{{"job-1", claim.Cancelled, nil}, {"job-2", claim.Queued, []ids.Job{"job-1"}}}, []string{"job-2"}, 201, "cancelled", claim.EndPrefix},
-	"waits for a cancelling one, two steps on": {[]namedJob{{"job-1", claim.Cancelling, nil}, {"job-2", claim.Queued, []ids.Job{"job-1"}},
-		{"job-3", claim.Queued, []ids.Job{"job-2"}}}, []string{"job-3"}, 201, "cancelled", claim.EndPrefix},
-	"waits for a done one":  {[]namedJob{{"job-1", claim.Done, nil}, {"job-2", claim.Queued, []ids.Job{"job-1"}}}, []string{"job-2"}, 201, "pending", claim.WaitPrefix},
-	"one done, one queued":  {[]namedJob{{"job-1", claim.Done, nil}, {"job-2", claim.Queued, nil}}, []string{"job-1", "job-2"}, 201, "pending", claim.WaitPrefix},
-	"one queued, one ended": {[]namedJob{{"job-1", claim.Queued, nil}, {"job-2", claim.Cancelled, nil}}, []string{"job-1", "job-2"}, 201, "cancelled", claim.EndPrefix},
-	"all done":              {[]namedJob{{"job-1", claim.Done, nil}, {"job-2", claim.Done, nil}}, []string{"job-1", "job-2"}, 201, "pending", claim.JobPrefix},
+	"queued":                    {[]namedJob{{"job-1", record.Queued, nil}}, []string{"job-1"}, 201, "pending", record.WaitPrefix},
+	"claimed":                   {[]namedJob{{"job-1", record.Claimed, nil}}, []string{"job-1"}, 201, "pending", record.WaitPrefix},
+	"done":                      {[]namedJob{{"job-1", record.Done, nil}}, []string{"job-1"}, 201, "pending", record.JobPrefix},
+	"cancelled":                 {[]namedJob{{"job-1", record.Cancelled, nil}}, []string{"job-1"}, 201, "cancelled", record.EndPrefix},
+	"cancelling":                {[]namedJob{{"job-1", record.Cancelling, nil}}, []string{"job-1"}, 201, "cancelled", record.EndPrefix},
+	"waiting":                   {[]namedJob{{"job-1", record.Queued, nil}, {"job-2", record.Queued, []ids.Job{"job-1"}}}, []string{"job-2"}, 201, "pending", record.WaitPrefix},
+	"waits for a cancelled one": {[]namedJob{{"job-1", record.Cancelled, nil}, {"job-2", record.Queued, []ids.Job{"job-1"}}}, []string{"job-2"}, 201, "cancelled", record.EndPrefix},
+	"waits for a cancelling one, two steps on": {[]namedJob{{"job-1", record.Cancelling, nil}, {"job-2", record.Queued, []ids.Job{"job-1"}},
+		{"job-3", record.Queued, []ids.Job{"job-2"}}}, []string{"job-3"}, 201, "cancelled", record.EndPrefix},
+	"waits for a done one":  {[]namedJob{{"job-1", record.Done, nil}, {"job-2", record.Queued, []ids.Job{"job-1"}}}, []string{"job-2"}, 201, "pending", record.WaitPrefix},
+	"one done, one queued":  {[]namedJob{{"job-1", record.Done, nil}, {"job-2", record.Queued, nil}}, []string{"job-1", "job-2"}, 201, "pending", record.WaitPrefix},
+	"one queued, one ended": {[]namedJob{{"job-1", record.Queued, nil}, {"job-2", record.Cancelled, nil}}, []string{"job-1", "job-2"}, 201, "cancelled", record.EndPrefix},
+	"all done":              {[]namedJob{{"job-1", record.Done, nil}, {"job-2", record.Done, nil}}, []string{"job-1", "job-2"}, 201, "pending", record.JobPrefix},
 	"never accepted":        {nil, []string{"job-1"}, 422, "", ""},
-	"one never accepted":    {[]namedJob{{"job-1", claim.Queued, nil}}, []string{"job-1", "job-2"}, 422, "", ""},
-	"cancelled and never":   {[]namedJob{{"job-1", claim.Cancelled, nil}}, []string{"job-1", "job-2"}, 422, "", ""},
-	"five ended, one of never": {[]namedJob{{"job-1", claim.Done, nil}, {"job-2", claim.Done, nil}, {"job-3", claim.Done, nil}, {"job-4", claim.Done, nil}},
+	"one never accepted":    {[]namedJob{{"job-1", record.Queued, nil}}, []string{"job-1", "job-2"}, 422, "", ""},
+	"cancelled and never":   {[]namedJob{{"job-1", record.Cancelled, nil}}, []string{"job-1", "job-2"}, 422, "", ""},
+	"five ended, one of never": {[]namedJob{{"job-1", record.Done, nil}, {"job-2", record.Done, nil}, {"job-3", record.Done, nil}, {"job-4", record.Done, nil}},
 		[]string{"job-1", "job-2", "job-3", "job-4", "job-5"}, 422, "", ""},
 	"itself": {nil, []string{"job-90"}, 422, "", ""},
 }
@@ -160,14 +160,14 @@
 		for second := first; second < 9; second++ {
 			synctest.Test(t, func(t *testing.T) {
 				r := newRegion(t)
-				r.put("job-1", claim.Done)
-				r.put("job-2", claim.Queued, "job-1")
-				waiting, err := claim.DecodeWaiting(r.store.Value(claim.WaitKey("job-2")))
+				r.put("job-1", record.Done)
+				r.put("job-2", record.Queued, "job-1")
+				waiting, err := record.DecodeWaiting(r.store.Value(record.WaitKey("job-2")))
 				if err != nil {
 					t.Fatal(err)
 				}
 				live, _ := waiting.Encode(64 * 1024)
-				waiting.Status = claim.Done
+				waiting.Status = record.Done
 				end, _ := waiting.Encode(64 * 1024)
 				calls := 0
 				r.net.SetRule(func(from, _ string, _ *http.Request, _ []byte) fake.Fate {
@@ -176,10 +176,10 @@
 					}
 					calls++
 					if calls == first {
-						r.commit(state.Op{Remove: claim.WaitKey("job-2")}, state.Op{Put: claim.JobKey("job-2"), Value: live})
+						r.commit(state.Op{Remove: record.WaitKey("job-2")}, state.Op{Put: record.JobKey("job-2"), Value: live})
 					}
 					if calls == second {
-						r.commit(state.Op{Remove: claim.JobKey("job-2")}, state.Op{Put: claim.EndKey("job-2"), Value: end})
+						r.commit(state.Op{Remove: record.JobKey("job-2")}, state.Op{Put: record.EndKey("job-2"), Value: end})
 					}
 					return fake.Deliver
 				})
@@ -199,9 +199,9 @@
 	// refused now, and against letting a repeat change what the job awaits.
 	synctest.Test(t, func(t *testing.T) {
 		r := newRegion(t)
-		r.put("job-1", claim.Queued)
-		r.put("job-2", claim.Cancelled)
-		r.put("job-3", claim.Done)
+		r.put("job-1", record.Queued)
+		r.put("job-2", record.Cancelled)
+		r.put("job-3", record.Done)
 		for id, names := range map[string][]string{"job-10": {"job-1"}, "job-11": {"job-2"}, "job-12": {"job-3"}, "job-13": nil} {
 			code, status := r.submit("a", awaits(id, names))
 			if code != 201 {
--- a/internal/intake/cancel.go
+++ b/internal/intake/cancel.go
@@ -7,8 +7,8 @@
 	"log/slog"
 	"time"
 
-	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -32,7 +32,7 @@
 		if err != nil || r == nil {
 			return answer{}, false, err
 		}
-		if r.Status.Over() || r.Status == claim.Cancelling {
+		if r.Status.Over() || r.Status == record.Cancelling {
 			return tell(r), true, nil
 		}
 		write, err := d.cancellation(r, entry)
@@ -66,27 +66,27 @@
 }
 
 // cancellation words a job's record as cancelled and the transaction that stores that.
-func (d *JobService) cancellation(r *claim.Record, entry state.Entry) (cancelWrite, error) {
+func (d *JobService) cancellation(r *record.Record, entry state.Entry) (cancelWrite, error) {
 	id, now := r.Spec.ID, ids.WallOf(time.Now())
 	write := cancelWrite{txn: state.Txn{When: []state.Condition{
 		{Key: entry.Key, Revision: entry.Revision},
-		{Key: claim.CancelKey(id)},
+		{Key: record.CancelKey(id)},
 	}}}
 	r.Writer, r.Seq = d.Writer, r.Seq+1
 	limit := int(d.Set.Params.State.ValueKB * 1024)
 	if len(r.Places) == 0 {
-		r.Status = claim.Cancelled
-		r.Trail = append(r.Trail, claim.Event{At: now, What: claim.CancelledByUser})
+		r.Status = record.Cancelled
+		r.Trail = append(r.Trail, record.Event{At: now, What: record.CancelledByUser})
 		raw, fits := r.EncodeFinal(limit)
 		if !fits {
 			return write, errNotNow
 		}
-		write.tell = entry.Key != claim.WaitKey(id) // the leader follows those that wait
-		write.txn.When = append(write.txn.When, state.Condition{Key: claim.EndKey(id)})
-		write.txn.Then = []state.Op{{Remove: entry.Key}, {Put: claim.EndKey(id), Value: raw}}
+		write.tell = entry.Key != record.WaitKey(id) // the leader follows those that wait
+		write.txn.When = append(write.txn.When, state.Condition{Key: record.EndKey(id)})
+		write.txn.Then = []state.Op{{Remove: entry.Key}, {Put: record.EndKey(id), Value: raw}}
 		return write, nil
 	}
-	mark := claim.Cancellation{At: now, Writer: d.Writer}
+	mark := record.Cancellation{At: now, Writer: d.Writer}
 	mark.ApplyTo(r)
 	raw, fits := r.Encode(limit)
 	if !fits && !d.limitsFell.Load() {
@@ -100,12 +100,12 @@
 		write.txn.Then = []state.Op{{Put: entry.Key, Value: raw}}
 		return write, nil
 	}
-	write.txn.Then = []state.Op{{Put: claim.CancelKey(id), Value: mark.Encode()}}
+	write.txn.Then = []state.Op{{Put: record.CancelKey(id), Value: mark.Encode()}}
 	return write, nil
 }
 
 // cancelled takes in that a cancellation is stored, and has the leader told of it.
-func (d *JobService) cancelled(ctx context.Context, r *claim.Record, write cancelWrite, stamp ids.Revision) {
+func (d *JobService) cancelled(ctx context.Context, r *record.Record, write cancelWrite, stamp ids.Revision) {
 	if r.Status.Over() {
 		d.remember(r)
 		if write.tell {
--- a/internal/intake/forecast.go
+++ b/internal/intake/forecast.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
-	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -36,11 +36,11 @@
 
 // explainPipeline tells what a job waits for, and whether the deadline of the pipeline
 // that it belongs to is at risk, and by which job.
-func (d *JobService) explainPipeline(ctx context.Context, r *claim.Record) ([]string, error) {
+func (d *JobService) explainPipeline(ctx context.Context, r *record.Record) ([]string, error) {
 	switch {
-	case r.Status == claim.Cancelled && r.CancelledBy != "":
+	case r.Status == record.Cancelled && r.CancelledBy != "":
 		return d.explainCause(ctx, r)
-	case r.Status.Over() || r.Status == claim.Cancelling:
+	case r.Status.Over() || r.Status == record.Cancelling:
 		return nil, nil
 	}
 	f := &forecast{survey: d.newSurvey(state.Spare), paths: map[ids.Job]path{}}
@@ -77,7 +77,7 @@
 
 // explainCause names the job whose user's cancellation ended one that needs it. The
 // record may name one in between, which was cancelled with it.
-func (d *JobService) explainCause(ctx context.Context, r *claim.Record) ([]string, error) {
+func (d *JobService) explainCause(ctx context.Context, r *record.Record) ([]string, error) {
 	cause, between := r.CancelledBy, []string{}
 	for range forecastJobs {
 		rec, _, err := d.lookIn(ctx, cause, state.Spare)
@@ -98,7 +98,7 @@
 }
 
 // awaited lists how the jobs stand that one awaits, those that are not done first.
-func (f *forecast) awaited(ctx context.Context, r *claim.Record) ([]string, error) {
+func (f *forecast) awaited(ctx context.Context, r *record.Record) ([]string, error) {
 	if err := f.survey.prefetch(ctx, r.Spec.Awaits); err != nil {
 		return nil, err
 	}
@@ -123,7 +123,7 @@
 }
 
 // risk words whether a job's deadline, if it has one, is at risk.
-func (f *forecast) risk(ctx context.Context, r *claim.Record) ([]string, error) {
+func (f *forecast) risk(ctx context.Context, r *record.Record) ([]string, error) {
 	if r.Spec.Due <= 0 {
 		return nil, nil
 	}
@@ -139,7 +139,7 @@
 }
 
 // follow finds the longest path to the end of a job that is not over.
-func (f *forecast) follow(ctx context.Context, r *claim.Record) (path, error) {
+func (f *forecast) follow(ctx context.Context, r *record.Record) (path, error) {
 	id := r.Spec.ID
 	if p, ok := f.paths[id]; ok {
 		return p, nil
@@ -176,10 +176,10 @@
 
 // deadlinesBehind lists the waiting jobs with a deadline that need a job, directly or
 // not, soonest due first, as this node's copy has them.
-func (d *JobService) deadlinesBehind(id ids.Job) []*claim.Record {
+func (d *JobService) deadlinesBehind(id ids.Job) []*record.Record {
 	needers := d.needers()
 	found := map[ids.Job]bool{id: true}
-	var last []*claim.Record
+	var last []*record.Record
 	for next := []ids.Job{id}; len(next) > 0; next = next[1:] {
 		for _, r := range needers[next[0]] {
 			if found[r.Spec.ID] {
@@ -192,19 +192,19 @@
 			}
 		}
 	}
-	slices.SortFunc(last, func(a, z *claim.Record) int { return due(a).Compare(due(z)) })
+	slices.SortFunc(last, func(a, z *record.Record) int { return due(a).Compare(due(z)) })
 	return last[:min(len(last), forecastLast)]
 }
 
-func due(r *claim.Record) time.Time { return r.Submitted.Time().Add(r.Spec.Due.Duration()) }
+func due(r *record.Record) time.Time { return r.Submitted.Time().Add(r.Spec.Due.Duration()) }
 
 // needers indexes the waiting jobs by what they await.
-func (d *JobService) needers() map[ids.Job][]*claim.Record {
+func (d *JobService) needers() map[ids.Job][]*record.Record {
 	entries, _ := d.Jobs.All()
-	index := map[ids.Job][]*claim.Record{}
+	index := map[ids.Job][]*record.Record{}
 	for _, e := range entries {
-		r, err := claim.DecodeWaiting(e.Value)
-		if err != nil || e.Key != claim.WaitKey(r.Spec.ID) {
+		r, err := record.DecodeWaiting(e.Value)
+		if err != nil || e.Key != record.WaitKey(r.Spec.ID) {
 			continue
 		}
 		for _, need := range r.Spec.Awaits {
--- a/internal/intake/forecast_test.go
+++ b/internal/intake/forecast_test.go
@@ -9,9 +9,9 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/fake"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -58,7 +58,7 @@
 	// last job only, or of the wrong cause: the longest way counts, without what is done.
 	synctest.Test(t, func(t *testing.T) {
 		r := newRegion(t)
-		go r.services["b"].State.Watch(t.Context(), claim.KeysOf(0, 1).Generation())
+		go r.services["b"].State.Watch(t.Context(), record.KeysOf(0, 1).Generation())
 		r.submitAll(timed("job-1", 30, 0), timed("job-2", 50, 0), timed("job-3", 20, 0, "job-1", "job-2"),
 			timed("job-4", 10, 100.4, "job-3", "job-1"), timed("job-5", 5, 300.4, "job-4"))
 		const hangs = "; it hangs on job-2 first"
@@ -72,7 +72,7 @@
 		r.explainedAs("job-4", "awaits job-3: pending, 0 of 2 tasks done", "awaits job-1: pending, 0 of 2 tasks done", atRisk, behind)
 		r.explainedAs("job-1", "needed by job-4: "+atRisk, behind)
 		// The long one is done: the other way is the longer now.
-		r.endAs("job-2", claim.Done)
+		r.endAs("job-2", record.Done)
 		r.explainedAs("job-3", "awaits job-1: pending, 0 of 2 tasks done", "awaits job-2: done, 0 of 2 tasks done",
 			"needed by job-4: the pipeline is in time: by the estimates it ends 5s before its deadline; it hangs on job-1 first",
 			"needed by job-5: the pipeline is in time: by the estimates it ends 200s before its deadline; it hangs on job-1 first")
@@ -80,13 +80,13 @@
 }
 
 // endAs ends a job as the leader would.
-func (r *region) endAs(id ids.Job, how claim.Status) {
+func (r *region) endAs(id ids.Job, how record.Status) {
 	r.t.Helper()
-	rec, err := claim.Decode(r.store.Value(claim.JobKey(id)))
+	rec, err := record.Decode(r.store.Value(record.JobKey(id)))
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	r.remove(claim.JobKey(id))
+	r.remove(record.JobKey(id))
 	rec.Status = how
 	r.keep(rec, false)
 }
@@ -105,12 +105,12 @@
 		r.explainedAs("job-1")
 		// The leader may learn of one in between first.
 		for id, by := range map[ids.Job]ids.Job{"job-2": "job-1", "job-3": "job-2"} {
-			rec, err := claim.DecodeWaiting(r.store.Value(claim.WaitKey(id)))
+			rec, err := record.DecodeWaiting(r.store.Value(record.WaitKey(id)))
 			if err != nil {
 				t.Fatal(err)
 			}
 			rec.EndedBy(by)
-			r.remove(claim.WaitKey(id))
+			r.remove(record.WaitKey(id))
 			r.keep(rec, false)
 		}
 		r.explainedAs("job-3", "cancelled with job-1, whose user cancelled it, through job-2")
@@ -131,13 +131,13 @@
 		var ended []ids.Job
 		for i := range 150 {
 			id := ids.Job(fmt.Sprintf("job-%d", 5000+i))
-			r.put(id, claim.Done)
+			r.put(id, record.Done)
 			ended = append(ended, id)
 		}
 		before := []ids.Job{}
 		for i := range 700 {
 			id := ids.Job(fmt.Sprintf("job-%d", 1000+i))
-			r.put(id, claim.Queued, append(before[max(0, len(before)-20):], ended...)...)
+			r.put(id, record.Queued, append(before[max(0, len(before)-20):], ended...)...)
 			before = append(before, id)
 		}
 		last := timed("job-9", 10, 60, "job-1699")
@@ -170,7 +170,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		rec := recordOf(spec, claim.Queued)
+		rec := recordOf(spec, record.Queued)
 		rec.Ready = rec.Submitted + 60000
 		r.keep(rec, false)
 		time.Sleep(60 * time.Second)
--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -11,9 +11,9 @@
 
 	"github.com/labstack/echo/v4"
 
-	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/measure"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
@@ -42,12 +42,12 @@
 
 // Explanation is the answer of GET /v2/runs/{id}/explain.
 type Explanation struct {
-	UID    ids.Job       `json:"uid"`
-	Status string        `json:"status"`
-	Trail  []claim.Event `json:"trail"`
-	Now    []string      `json:"now,omitempty"`
-	Owner  ids.Node      `json:"owner,omitempty"`
-	Note   string        `json:"note,omitempty"`
+	UID    ids.Job        `json:"uid"`
+	Status string         `json:"status"`
+	Trail  []record.Event `json:"trail"`
+	Now    []string       `json:"now,omitempty"`
+	Owner  ids.Node       `json:"owner,omitempty"`
+	Note   string         `json:"note,omitempty"`
 }
 
 // Handler builds the routes.
@@ -186,7 +186,7 @@
 
 // explanation words what is known of a job: its trail, its pipeline, and, unless it is
 // over or waits for others, what the leader says of its tasks.
-func (s *Site) explanation(ctx context.Context, r *claim.Record) Explanation {
+func (s *Site) explanation(ctx context.Context, r *record.Record) Explanation {
 	id := r.Spec.ID
 	x := Explanation{UID: id, Status: tell(r).Status, Trail: r.Trail}
 	lines, err := s.Jobs.explainPipeline(ctx, r)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -13,11 +13,11 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/fake"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -65,7 +65,7 @@
 
 type mute struct{}
 
-func (mute) NotifyLeader(ids.Job, ids.Revision, *claim.Record, json.RawMessage) <-chan struct{} {
+func (mute) NotifyLeader(ids.Job, ids.Revision, *record.Record, json.RawMessage) <-chan struct{} {
 	done := make(chan struct{})
 	close(done)
 	return done
@@ -78,7 +78,7 @@
 	set.Params.State = config.State{RPS: 500, WriteRPS: 500, ValueKB: 8, TxnOps: 12}
 	set.Params.Teams = []config.Team{{Name: "red", CPUsMax: 8}}
 	st := state.NewClient("state:1", n.Client("a"), state.NewBudget(500, 500, 1, 0.6))
-	return n, s, &JobService{Set: set, State: st, Jobs: state.NewMirror(st, claim.JobPrefix, time.Second), LeaderNotifier: mute{}, Writer: "a",
+	return n, s, &JobService{Set: set, State: st, Jobs: state.NewMirror(st, record.JobPrefix, time.Second), LeaderNotifier: mute{}, Writer: "a",
 		Types: func() []placement.Type {
 			return []placement.Type{{Label: "small", Cores: 4, RAM: 16, Zones: []string{"north"}}}
 		}}
@@ -193,7 +193,7 @@
 			return fake.Deliver
 		})
 		d.State = state.NewClient("state:1", n.Client("a"), state.NewBudget(200, 50, 5, 0.45))
-		d.Jobs = state.NewMirror(d.State, claim.JobPrefix, time.Second)
+		d.Jobs = state.NewMirror(d.State, record.JobPrefix, time.Second)
 		h := (&Site{Jobs: d, Ready: func() bool { return true }}).Handler()
 		if got := call(h, "POST", "/v2/runs", good()).Code; got != 201 {
 			t.Fatal(got)
--- a/internal/intake/job_service.go
+++ b/internal/intake/job_service.go
@@ -10,17 +10,17 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
 // LeaderNotifier passes the write of a job's record on to the leader.
 type LeaderNotifier interface {
 	// The channel closes once it knows, or can't be told.
-	NotifyLeader(id ids.Job, stamp ids.Revision, rec *claim.Record, raw json.RawMessage) <-chan struct{}
+	NotifyLeader(id ids.Job, stamp ids.Revision, rec *record.Record, raw json.RawMessage) <-chan struct{}
 }
 
 // errNotNow means that the request can't be decided or stored now.
@@ -49,7 +49,7 @@
 	q    []ids.Job
 }
 
-func (d *JobService) remember(r *claim.Record) {
+func (d *JobService) remember(r *record.Record) {
 	a := tell(r)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -81,7 +81,7 @@
 // for all requests that wait; only those that are not among them cost a call
 // each. A job that ends in between has its final record before its live one is
 // gone, so looking for the live one first misses nothing.
-func (d *JobService) read(ctx context.Context, id ids.Job, u state.Urgency) (*claim.Record, state.Entry, error) {
+func (d *JobService) read(ctx context.Context, id ids.Job, u state.Urgency) (*record.Record, state.Entry, error) {
 	if d.State.Unavailable() {
 		return nil, state.Entry{}, fmt.Errorf("%w: the state service does not answer", errNotNow)
 	}
@@ -89,7 +89,7 @@
 		return nil, state.Entry{}, fmt.Errorf("%w: %v", errNotNow, err)
 	}
 	r, e, err := d.lookIn(ctx, id, u)
-	if r != nil && e.Key == claim.WaitKey(id) {
+	if r != nil && e.Key == record.WaitKey(id) {
 		by, err := d.cancelledBy(ctx, r, u)
 		if err != nil {
 			return nil, e, err
@@ -106,19 +106,19 @@
 
 // lookIn reads a record from the copy, which is as new as the caller needs it, or
 // the final one from the store; nil when there is none.
-func (d *JobService) lookIn(ctx context.Context, id ids.Job, u state.Urgency) (*claim.Record, state.Entry, error) {
+func (d *JobService) lookIn(ctx context.Context, id ids.Job, u state.Urgency) (*record.Record, state.Entry, error) {
 	r, e, err := d.live(id)
 	if err != nil || r != nil {
 		return r, e, err
 	}
-	e, found, err := d.State.Get(ctx, claim.EndKey(id), u)
+	e, found, err := d.State.Get(ctx, record.EndKey(id), u)
 	if err != nil {
 		return nil, e, fmt.Errorf("%w: %v", errNotNow, err)
 	}
 	if !found {
 		return nil, e, nil
 	}
-	if r, err = claim.Decode(e.Value); err != nil {
+	if r, err = record.Decode(e.Value); err != nil {
 		return nil, e, unreadable(e, err)
 	}
 	return r, e, nil
@@ -126,28 +126,28 @@
 
 // live reads the record of an unfinished job from this node's copy, however old; nil if
 // there is none. A cancellation stored apart from the record is applied to it.
-func (d *JobService) live(id ids.Job) (*claim.Record, state.Entry, error) {
-	entries, ready := d.Jobs.Several(claim.JobKey(id), claim.WaitKey(id), claim.CancelKey(id))
+func (d *JobService) live(id ids.Job) (*record.Record, state.Entry, error) {
+	entries, ready := d.Jobs.Several(record.JobKey(id), record.WaitKey(id), record.CancelKey(id))
 	if !ready {
 		return nil, state.Entry{}, errNotNow
 	}
-	record, waiting, cancellation := entries[0], entries[1], entries[2]
+	stored, waiting, cancellation := entries[0], entries[1], entries[2]
 	switch {
-	case record.Key != "":
-		r, err := claim.Decode(record.Value)
+	case stored.Key != "":
+		r, err := record.Decode(stored.Value)
 		if err != nil {
-			return nil, record, unreadable(record, err)
+			return nil, stored, unreadable(stored, err)
 		}
 		if cancellation.Key != "" {
-			c, err := claim.DecodeCancellation(cancellation.Value)
+			c, err := record.DecodeCancellation(cancellation.Value)
 			if err != nil {
-				return nil, record, unreadable(cancellation, err)
+				return nil, stored, unreadable(cancellation, err)
 			}
 			c.ApplyTo(r)
 		}
-		return r, record, nil
+		return r, stored, nil
 	case waiting.Key != "":
-		r, err := claim.DecodeWaiting(waiting.Value)
+		r, err := record.DecodeWaiting(waiting.Value)
 		if err != nil {
 			return nil, waiting, unreadable(waiting, err)
 		}
@@ -167,12 +167,12 @@
 const keepAnswers = 20000
 
 // Submit accepts a job or finds it known.
-func (d *JobService) Submit(ctx context.Context, spec claim.Spec) (a answer, known bool, err error) {
+func (d *JobService) Submit(ctx context.Context, spec record.Spec) (a answer, known bool, err error) {
 	if a, ok := d.remembered(spec.ID); ok {
 		return a, true, nil
 	}
 	why := d.never(&spec)
-	rec := claim.NewRecord(spec, ids.WallOf(time.Now()), d.Writer)
+	rec := record.New(spec, ids.WallOf(time.Now()), d.Writer)
 	raw, ok := d.describe(*rec)
 	if why == nil && !ok {
 		why = errTooLarge
@@ -189,7 +189,7 @@
 			return a, false, why
 		}
 	}
-	key := claim.JobKey(spec.ID)
+	key := record.JobKey(spec.ID)
 	if len(spec.Awaits) > 0 {
 		var err error
 		if key, raw, err = d.await(ctx, rec); err != nil {
@@ -200,13 +200,13 @@
 		return a, false, fmt.Errorf("%w: the state service does not answer", errNotNow)
 	}
 	epoch, err := d.State.Commit(ctx, state.Txn{
-		When: []state.Condition{{Key: claim.JobKey(spec.ID)}, {Key: claim.WaitKey(spec.ID)}, {Key: claim.EndKey(spec.ID)}},
+		When: []state.Condition{{Key: record.JobKey(spec.ID)}, {Key: record.WaitKey(spec.ID)}, {Key: record.EndKey(spec.ID)}},
 		Then: []state.Op{{Put: key, Value: raw}},
 	}, state.Spare)
 	var conflict *state.Conflict
 	switch {
 	case err == nil:
-		if key == claim.JobKey(spec.ID) {
+		if key == record.JobKey(spec.ID) {
 			d.LeaderNotifier.NotifyLeader(spec.ID, ids.Revision(epoch), rec, raw)
 		}
 		if rec.Status.Over() {
@@ -231,20 +231,20 @@
 
 // describe writes the record of a job that awaits nothing, or nothing any more. The
 // description must leave room for what becomes of the job.
-func (d *JobService) describe(rec claim.Record) (json.RawMessage, bool) {
+func (d *JobService) describe(rec record.Record) (json.RawMessage, bool) {
 	rec.Spec.Awaits = nil
-	return rec.Encode(int(d.Set.Params.State.ValueKB * 1024 * claim.DescribedShare))
+	return rec.Encode(int(d.Set.Params.State.ValueKB * 1024 * record.DescribedShare))
 }
 
 // never decides whether a job can never run; an error other than errNever
 // means that this can't be told yet.
-func (d *JobService) never(s *claim.Spec) error {
+func (d *JobService) never(s *record.Spec) error {
 	t, ok := d.Set.Team(s.Team)
 	if !ok {
 		return errNever{"unknown team " + s.Team}
 	}
 	n := 1.0
-	if s.Shape != claim.Array {
+	if s.Shape != record.Array {
 		n = float64(s.Tasks)
 	}
 	if t.CPUsMax > 0 && n*s.Need.Cores > t.CPUsMax || t.GPUsMax > 0 && n*s.Need.Accels > t.GPUsMax {
@@ -290,14 +290,14 @@
 }
 
 // Explain is a job's stored trail.
-func (d *JobService) Explain(ctx context.Context, id ids.Job) (*claim.Record, error) {
+func (d *JobService) Explain(ctx context.Context, id ids.Job) (*record.Record, error) {
 	r, _, err := d.read(ctx, id, state.Spare)
 	return r, err
 }
 
 // lastKnown is an unfinished job's record in this node's copy, however old; nil if there
 // is none.
-func (d *JobService) lastKnown(id ids.Job) *claim.Record {
+func (d *JobService) lastKnown(id ids.Job) *record.Record {
 	r, _, err := d.live(id)
 	if err != nil {
 		return nil
--- a/internal/intake/messages.go
+++ b/internal/intake/messages.go
@@ -3,8 +3,8 @@
 package intake
 
 import (
-	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 )
 
 // submission is the body of POST /v2/runs. Pointers tell a missing field from
@@ -46,14 +46,14 @@
 }
 
 // tell words a record for its user.
-func tell(r *claim.Record) answer {
-	a := answer{UID: r.Spec.ID, Done: r.Finished.Len(), Running: r.Open(), tasks: r.Spec.Tasks, service: r.Spec.Shape == claim.Service, cause: r.CancelledBy}
+func tell(r *record.Record) answer {
+	a := answer{UID: r.Spec.ID, Done: r.Finished.Len(), Running: r.Open(), tasks: r.Spec.Tasks, service: r.Spec.Shape == record.Service, cause: r.CancelledBy}
 	switch r.Status {
-	case claim.Done:
+	case record.Done:
 		a.Status, a.Running = "done", 0
-	case claim.Cancelled, claim.Cancelling:
+	case record.Cancelled, record.Cancelling:
 		a.Status = "cancelled"
-	case claim.Claimed:
+	case record.Claimed:
 		a.Status = "running"
 	default:
 		a.Status = "pending"
--- a/internal/intake/parse.go
+++ b/internal/intake/parse.go
@@ -7,9 +7,9 @@
 	"io"
 	"math"
 
-	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 )
 
 const (
@@ -18,27 +18,27 @@
 	maxTasks  = 100000
 )
 
-var shapes = map[string]claim.Shape{"array": claim.Array, "gang": claim.Gang, "standing": claim.Service}
-var urgencies = map[string]claim.Priority{"critical": claim.Critical, "high": claim.High, "normal": claim.Normal, "low": claim.Low}
+var shapes = map[string]record.Shape{"array": record.Array, "gang": record.Gang, "standing": record.Service}
+var urgencies = map[string]record.Priority{"critical": record.Critical, "high": record.High, "normal": record.Normal, "low": record.Low}
 
 // parse reads and checks a submission; an error means 400.
-func parse(r io.Reader) (claim.Spec, error) {
+func parse(r io.Reader) (record.Spec, error) {
 	raw, err := io.ReadAll(io.LimitReader(r, bodyLimit+1))
 	if err != nil {
-		return claim.Spec{}, err
+		return record.Spec{}, err
 	}
 	if len(raw) > bodyLimit {
-		return claim.Spec{}, fmt.Errorf("body over %d bytes", bodyLimit)
+		return record.Spec{}, fmt.Errorf("body over %d bytes", bodyLimit)
 	}
 	if t := bytes.TrimLeft(raw, " \t\r\n"); len(t) == 0 || t[0] != '{' {
-		return claim.Spec{}, fmt.Errorf("not a JSON object")
+		return record.Spec{}, fmt.Errorf("not a JSON object")
 	}
 	var s submission
 	if err := json.Unmarshal(raw, &s); err != nil {
-		return claim.Spec{}, fmt.Errorf("not readable: %w", err)
+		return record.Spec{}, fmt.Errorf("not readable: %w", err)
 	}
 	if err := s.complete(); err != nil {
-		return claim.Spec{}, err
+		return record.Spec{}, err
 	}
 	return s.spec()
 }
@@ -78,8 +78,8 @@
 func isName(text string) bool { return text != "" && len(text) <= nameLimit }
 
 // spec turns a complete submission into the description of a job.
-func (s *submission) spec() (claim.Spec, error) {
-	spec := claim.Spec{
+func (s *submission) spec() (record.Spec, error) {
+	spec := record.Spec{
 		Class: *s.JobKind, Team: *s.Owner,
 		Need:  placement.Room{Cores: *s.Cores, Accels: *s.Accelerators, RAM: *s.RAMGb},
 		Image: *s.Bundle, ImageGB: *s.PullGb, OneZone: *s.Together, Spread: *s.Spread, Spot: *s.Loaners,
@@ -87,27 +87,27 @@
 	}
 	var err error
 	if spec.ID, err = ids.ParseJob(*s.UID); err != nil {
-		return claim.Spec{}, fmt.Errorf("uid: %w", err)
+		return record.Spec{}, fmt.Errorf("uid: %w", err)
 	}
 	var ok bool
 	if spec.Shape, ok = shapes[*s.Shape]; !ok {
-		return claim.Spec{}, fmt.Errorf("shape: unknown: %q", *s.Shape)
+		return record.Spec{}, fmt.Errorf("shape: unknown: %q", *s.Shape)
 	}
 	if spec.Priority, ok = urgencies[*s.Urgency]; !ok {
-		return claim.Spec{}, fmt.Errorf("urgency: unknown: %q", *s.Urgency)
+		return record.Spec{}, fmt.Errorf("urgency: unknown: %q", *s.Urgency)
 	}
 	if *s.Pieces < 1 || *s.Pieces > maxTasks || *s.Pieces != math.Trunc(*s.Pieces) {
-		return claim.Spec{}, fmt.Errorf("pieces: must be a whole number from 1 to %d", maxTasks)
+		return record.Spec{}, fmt.Errorf("pieces: must be a whole number from 1 to %d", maxTasks)
 	}
 	spec.Tasks = int(*s.Pieces)
 	if err := s.optional(&spec); err != nil {
-		return claim.Spec{}, err
+		return record.Spec{}, err
 	}
 	return spec, nil
 }
 
 // optional takes over the fields that may be null or left out.
-func (s *submission) optional(spec *claim.Spec) error {
+func (s *submission) optional(spec *record.Spec) error {
 	if s.Builds != nil {
 		spec.Types = *s.Builds
 		if spec.Types == nil {
--- a/internal/intake/pipeline.go
+++ b/internal/intake/pipeline.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"time"
 
-	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -18,7 +18,7 @@
 // await decides where the record of a job that awaits others goes. What it awaits
 // was read after the request began. It may be cancelled from the start; and if all it
 // awaits is done, it awaits nothing any more, since that never changes.
-func (d *JobService) await(ctx context.Context, rec *claim.Record) (key string, raw json.RawMessage, err error) {
+func (d *JobService) await(ctx context.Context, rec *record.Record) (key string, raw json.RawMessage, err error) {
 	open, by, err := d.unfinished(ctx, rec.Spec.Awaits)
 	if err != nil {
 		return "", nil, err
@@ -28,18 +28,18 @@
 	switch {
 	case by != "":
 		rec.EndedBy(by)
-		key = claim.EndKey(id)
+		key = record.EndKey(id)
 		raw, ok = rec.Encode(limit)
 	case len(open) > 0:
-		key = claim.WaitKey(id)
+		key = record.WaitKey(id)
 		raw, ok = encodeWaiting(rec, open, limit)
 		if !ok {
 			return "", nil, errManyAwaits
 		}
 	default:
 		rec.Ready = ids.WallOf(time.Now())
-		key = claim.JobKey(id)
-		raw, ok = rec.Encode(int(float64(limit) * claim.DescribedShare))
+		key = record.JobKey(id)
+		raw, ok = rec.Encode(int(float64(limit) * record.DescribedShare))
 	}
 	if !ok {
 		return "", nil, errTooLarge
@@ -49,7 +49,7 @@
 
 // encodeWaiting writes the record of a job that waits. Of what it awaits, the jobs that
 // are done already may be left out if the record does not fit with them.
-func encodeWaiting(rec *claim.Record, open []ids.Job, limit int) (json.RawMessage, bool) {
+func encodeWaiting(rec *record.Record, open []ids.Job, limit int) (json.RawMessage, bool) {
 	if raw, ok := rec.EncodeWaiting(limit); ok {
 		return raw, true
 	}
@@ -84,12 +84,12 @@
 }
 
 // cancelledBy is the cancelled job that ends one that waits; none if it still waits.
-func (d *JobService) cancelledBy(ctx context.Context, r *claim.Record, u state.Urgency) (ids.Job, error) {
+func (d *JobService) cancelledBy(ctx context.Context, r *record.Record, u state.Urgency) (ids.Job, error) {
 	return d.newSurvey(u).causeOf(ctx, r)
 }
 
 // waits tells whether a job still waits for others, as this node knows.
 func (d *JobService) waits(id ids.Job) bool {
-	e, found, _ := d.Jobs.First(claim.JobKey(id), claim.WaitKey(id))
-	return found && e.Key == claim.WaitKey(id)
+	e, found, _ := d.Jobs.First(record.JobKey(id), record.WaitKey(id))
+	return found && e.Key == record.WaitKey(id)
 }
--- a/internal/intake/region_test.go
+++ b/internal/intake/region_test.go
@@ -9,10 +9,10 @@
 	"testing"
 	"time"
 
-	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/fake"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -41,7 +41,7 @@
 func (r *region) start(name string) {
 	_, _, d := jobService()
 	d.State = state.NewClient("state:1", r.net.Client(name), state.NewBudget(1000, 1000, 1, 0.6))
-	d.Jobs = state.NewMirror(d.State, claim.JobPrefix, time.Second)
+	d.Jobs = state.NewMirror(d.State, record.JobPrefix, time.Second)
 	d.Writer = name
 	d.Set.Params.Teams = append(d.Set.Params.Teams, config.Team{Name: "blue", CPUsMax: 8})
 	r.services[name] = d
@@ -89,7 +89,7 @@
 }
 
 // put stores a job in any state, at the key that fits.
-func (r *region) put(id ids.Job, how claim.Status, needs ...ids.Job) {
+func (r *region) put(id ids.Job, how record.Status, needs ...ids.Job) {
 	r.t.Helper()
 	spec, err := parse(strings.NewReader(string(jsonOf(awaits(string(id), needs)))))
 	if err != nil {
@@ -98,22 +98,22 @@
 	r.keep(recordOf(spec, how), len(needs) > 0)
 }
 
-func recordOf(spec claim.Spec, how claim.Status) *claim.Record {
-	rec := claim.NewRecord(spec, ids.WallOf(time.Now()), "leader")
+func recordOf(spec record.Spec, how record.Status) *record.Record {
+	rec := record.New(spec, ids.WallOf(time.Now()), "leader")
 	rec.Status = how
 	return rec
 }
 
 // keep stores a record.
-func (r *region) keep(rec *claim.Record, waits bool) {
+func (r *region) keep(rec *record.Record, waits bool) {
 	r.t.Helper()
 	id := rec.Spec.ID
-	key, encode := claim.JobKey(id), rec.Encode
+	key, encode := record.JobKey(id), rec.Encode
 	switch {
 	case rec.Status.Over():
-		key = claim.EndKey(id)
+		key = record.EndKey(id)
 	case waits:
-		key, encode = claim.WaitKey(id), rec.EncodeWaiting
+		key, encode = record.WaitKey(id), rec.EncodeWaiting
 	}
 	raw, ok := encode(64 * 1024)
 	if !ok {
@@ -136,7 +136,7 @@
 
 // keyOf is the one key at which a job's record is.
 func (r *region) keyOf(id ids.Job) (at string) {
-	for _, key := range []string{claim.JobKey(id), claim.WaitKey(id), claim.EndKey(id)} {
+	for _, key := range []string{record.JobKey(id), record.WaitKey(id), record.EndKey(id)} {
 		if r.store.Value(key) != nil {
 			at += key
 		}
--- a/internal/intake/survey.go
+++ b/internal/intake/survey.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"slices"
 
-	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -14,8 +14,8 @@
 type standing struct {
 	accepted bool
 	told     answer
-	cause    ids.Job       // the cancelled job that ends it, perhaps itself
-	rec      *claim.Record // nil if it is over and only its answer is remembered
+	cause    ids.Job        // the cancelled job that ends it, perhaps itself
+	rec      *record.Record // nil if it is over and only its answer is remembered
 }
 
 func (s *standing) over() bool { return s.told.Status == "done" || s.told.Status == "cancelled" }
@@ -27,11 +27,11 @@
 	urgency state.Urgency
 	seen    map[ids.Job]*standing
 	// finals are final records read in pages; nil for a job that has none.
-	finals map[ids.Job]*claim.Record
+	finals map[ids.Job]*record.Record
 }
 
 func (d *JobService) newSurvey(u state.Urgency) *survey {
-	return &survey{jobs: d, urgency: u, seen: map[ids.Job]*standing{}, finals: map[ids.Job]*claim.Record{}}
+	return &survey{jobs: d, urgency: u, seen: map[ids.Job]*standing{}, finals: map[ids.Job]*record.Record{}}
 }
 
 // look reads how a job stands.
@@ -58,7 +58,7 @@
 		if rec, e, err = s.jobs.lookIn(ctx, id, s.urgency); err != nil {
 			return nil, err
 		}
-		waits = rec != nil && e.Key == claim.WaitKey(id)
+		waits = rec != nil && e.Key == record.WaitKey(id)
 	}
 	switch {
 	case rec == nil:
@@ -68,7 +68,7 @@
 		return ended(tell(rec), rec), nil
 	}
 	at := &standing{accepted: true, told: tell(rec), rec: rec}
-	if rec.Status == claim.Cancelling {
+	if rec.Status == record.Cancelling {
 		at.cause = id
 	}
 	if waits {
@@ -84,7 +84,7 @@
 }
 
 // ended is how a job stands that is over.
-func ended(told answer, rec *claim.Record) *standing {
+func ended(told answer, rec *record.Record) *standing {
 	at := &standing{accepted: true, told: told, rec: rec}
 	if told.Status != "cancelled" {
 		return at
@@ -96,7 +96,7 @@
 }
 
 // causeOf finds a cancelled job among those that one awaits, directly or not.
-func (s *survey) causeOf(ctx context.Context, r *claim.Record) (ids.Job, error) {
+func (s *survey) causeOf(ctx context.Context, r *record.Record) (ids.Job, error) {
 	if err := s.prefetch(ctx, r.Spec.Awaits); err != nil {
 		return "", err
 	}
@@ -135,8 +135,8 @@
 	}
 	slices.Sort(missing)
 	for len(missing) > 0 {
-		after := justBefore(claim.EndKey(missing[0]))
-		page, more, _, err := s.jobs.State.List(ctx, claim.EndPrefix, after, finalsPage, s.urgency)
+		after := justBefore(record.EndKey(missing[0]))
+		page, more, _, err := s.jobs.State.List(ctx, record.EndPrefix, after, finalsPage, s.urgency)
 		if err != nil {
 			return fmt.Errorf("%w: %v", errNotNow, err)
 		}
@@ -155,7 +155,7 @@
 	if _, ok := s.jobs.remembered(id); ok {
 		return true
 	}
-	_, live, _ := s.jobs.Jobs.First(claim.JobKey(id), claim.WaitKey(id))
+	_, live, _ := s.jobs.Jobs.First(record.JobKey(id), record.WaitKey(id))
 	return live
 }
 
@@ -164,7 +164,7 @@
 func (s *survey) take(missing []ids.Job, page []state.Entry, more bool) (beyond []ids.Job, err error) {
 	wanted := map[string]ids.Job{}
 	for _, id := range missing {
-		wanted[claim.EndKey(id)] = id
+		wanted[record.EndKey(id)] = id
 		s.finals[id] = nil
 	}
 	for _, e := range page {
@@ -172,7 +172,7 @@
 		if !ok {
 			continue
 		}
-		rec, err := claim.Decode(e.Value)
+		rec, err := record.Decode(e.Value)
 		if err != nil {
 			return nil, fmt.Errorf("%w: unreadable record %s", errNotNow, e.Key)
 		}
@@ -183,7 +183,7 @@
 	}
 	last := page[len(page)-1].Key
 	for k, id := range missing {
-		if claim.EndKey(id) > last {
+		if record.EndKey(id) > last {
 			for _, later := range missing[k:] {
 				delete(s.finals, later)
 			}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,6 +16,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -66,7 +67,7 @@
 		s.link.shards.Of(w.Job).Learn(w.Job, w.Stamp, nil)
 		return nil
 	}
-	rec, err := claim.Decode(json.RawMessage(w.Raw))
+	rec, err := record.Decode(json.RawMessage(w.Raw))
 	if err != nil {
 		return err
 	}
@@ -232,7 +233,7 @@
 
 // NotifyLeader passes a write on to the leader, wherever it is; the channel closes once
 // it knows, or can't be told.
-func (l *Link) NotifyLeader(id ids.Job, stamp ids.Revision, rec *claim.Record, raw json.RawMessage) <-chan struct{} {
+func (l *Link) NotifyLeader(id ids.Job, stamp ids.Revision, rec *record.Record, raw json.RawMessage) <-chan struct{} {
 	done := make(chan struct{})
 	pool := l.shards.Of(id)
 	if pool.Cluster() != nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -16,6 +16,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/fake"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
@@ -37,7 +38,7 @@
 	go pool.Run(ctx)
 	go func() {
 		for ctx.Err() == nil {
-			st.Get(ctx, claim.KeysOf(0, 1).Generation(), state.Urgent)
+			st.Get(ctx, record.KeysOf(0, 1).Generation(), state.Urgent)
 			time.Sleep(500 * time.Millisecond)
 		}
 	}()
@@ -69,7 +70,7 @@
 			t.Error("the nodes do not know that the other is served")
 		}
 		// What b accepts, a learns at once, and b can explain it by asking a.
-		rec := claim.NewRecord(claim.Spec{ID: "job-1", Team: "red", Shape: claim.Array, Tasks: 1, Need: placement.Room{Cores: 1}}, 1, "b")
+		rec := record.New(record.Spec{ID: "job-1", Team: "red", Shape: record.Array, Tasks: 1, Need: placement.Room{Cores: 1}}, 1, "b")
 		raw, _ := json.Marshal(rec)
 		a.Cluster().SetTypes([]placement.Type{{Label: "small", Cores: 4, RAM: 16, Zones: []string{"north"}}})
 		lb.NotifyLeader("job-1", 9, rec, raw)
--- /dev/null
+++ b/internal/record/record_test.go
@@ -0,0 +1,35 @@
+package record
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+
+	"github.com/pebbletrail/pebbletrail/internal/placement"
+)
+
+func TestTheStoredNamesOfADescriptionStay(t *testing.T) {
+	// Guards against a rename in the code that changes what is stored: other versions of the
+	// program read it, and whatever they don't find is lost.
+	spec := Spec{ID: "job-1", Class: "c", Team: "red", Shape: Gang, Priority: High, Tasks: 2, Need: placement.Room{Cores: 1},
+		Image: "i", ImageGB: 2, Types: []string{"t"}, Zone: "z", OneZone: true, Spread: true, Spot: true, Estimate: 3,
+		Checkpoint: 4, Save: 5, Due: 6, Awaits: nil}
+	want := `{"id":"job-1","class":"c","team":"red","shape":"gang","priority":2,"tasks":2,"need":` + string(marshal(t, spec.Need)) +
+		`,"image":"i","imageGb":2,"types":["t"],"zone":"z","oneZone":true,"spread":true,"spot":true,"estimate":3,"checkpoint":4,"save":5,"due":6}`
+	if got := string(marshal(t, spec)); got != want {
+		t.Errorf("stored as\n%s, not\n%s", got, want)
+	}
+	var back Spec
+	if err := json.Unmarshal([]byte(want), &back); err != nil || !reflect.DeepEqual(back, spec) {
+		t.Errorf("read back as %+v, %v", back, err)
+	}
+}
+
+func marshal(t *testing.T, value any) []byte {
+	t.Helper()
+	raw, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
--- a/internal/claim/waiting.go
+++ b/internal/record/waiting.go
@@ -1,4 +1,4 @@
-package claim
+package record
 
 import (
 	"encoding/json"
@@ -18,29 +18,6 @@
 // they neither start such a job too early nor write it back without what they don't
 // know of it.
 
-// WaitKey is the key of a job that waits for others.
-func WaitKey(j ids.Job) string { return WaitPrefix + string(j) }
-
-// keyKind is what is kept at a key below JobPrefix.
-type keyKind int
-
-const (
-	liveRecord keyKind = iota
-	waitingRecord
-	storedCancellation
-)
-
-// keyed tells which job a key below JobPrefix belongs to, and what is kept there.
-func keyed(key string) (ids.Job, keyKind) {
-	if id, ok := strings.CutPrefix(key, WaitPrefix); ok {
-		return ids.Job(id), waitingRecord
-	}
-	if id, ok := strings.CutPrefix(key, CancelPrefix); ok {
-		return ids.Job(id), storedCancellation
-	}
-	return ids.Job(strings.TrimPrefix(key, JobPrefix)), liveRecord
-}
-
 // EncodeWaiting writes the record of a job that waits. It may take all of a value, since
 // nothing of the job is placed meanwhile. If the names of what it awaits do not fit
 // spelled out, they follow the record as packed names.
@@ -114,9 +91,9 @@
 // rest is for what becomes of it.
 const DescribedShare = 0.6
 
-// leaveRoom forgets what a job awaited, now that it awaits nothing any more, if the
+// LeaveRoom forgets what a job awaited, now that it awaits nothing any more, if the
 // names would leave too little of a value for its places.
-func (r *Record) leaveRoom(limit int) {
+func (r *Record) LeaveRoom(limit int) {
 	if raw, err := json.Marshal(&r.Spec); err != nil || len(raw) > int(float64(limit)*DescribedShare) {
 		r.Spec.Awaits = nil
 	}
@@ -129,10 +106,15 @@
 	r.Trail = append(append([]Event(nil), r.Trail...), Event{ids.WallOf(time.Now()), cancelledText(by)})
 }
 
-// since is from when on a job's waiting counts: its submission, or the moment when
+// Since is from when on a job's waiting counts: its submission, or the moment when
 // the last job that it awaited was done.
-func (r *Record) since() ids.Wall { return max(r.Submitted, r.Ready) }
+func (r *Record) Since() ids.Wall { return max(r.Submitted, r.Ready) }
 
-// awaited is how long a job waited for others, which takes from the time that its
+// Awaited is how long a job waited for others, which takes from the time that its
 // deadline leaves.
-func (r *Record) awaited() time.Duration { return r.since().Time().Sub(r.Submitted.Time()) }
+func (r *Record) Awaited() time.Duration { return r.Since().Time().Sub(r.Submitted.Time()) }
+
+// cancelledText words why a job that waited is cancelled.
+func cancelledText(by ids.Job) string {
+	return "cancelled: it needs " + string(by) + ", which was cancelled"
+}
