Drains in steps: budgets, permits stored with jobs, rollouts, commands (off without feature)

Need: machines are emptied and replaced while services run, and no team may lose more than its budget, whichever controllers fail (docs/drains.md). Without the feature a pass does nothing more.

--- a/cmd/pebbletrail/main.go
+++ b/cmd/pebbletrail/main.go
@@ -60,7 +60,7 @@
 	r.PersistentFlags().StringVar(&files.platform, "config", "", "the platform's settings file (TOML)")
 	r.PersistentFlags().StringVar(&files.operators, "operators", os.Getenv("PEBBLETRAIL_OPERATORS"), "the operators' own settings (protobuf text format); optional")
 	r.PersistentFlags().StringVar(&files.features, "features", os.Getenv("PEBBLETRAIL_FEATURES"), "what is switched on, the same at all controllers (protobuf text format); optional")
-	r.AddCommand(checkCommand(&files), versionCommand(), statusCommand(), explainCommand(), rehearseCommand())
+	r.AddCommand(checkCommand(&files), versionCommand(), statusCommand(), explainCommand(), rehearseCommand(), drainCommand())
 	return r
 }
 
--- a/cmd/pebbletrail/serve.go
+++ b/cmd/pebbletrail/serve.go
@@ -13,6 +13,8 @@
 	"strings"
 	"time"
 
+	"github.com/labstack/echo/v4"
+
 	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/fleet"
@@ -22,6 +24,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/peer"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
 	"github.com/pebbletrail/pebbletrail/internal/record"
+	"github.com/pebbletrail/pebbletrail/internal/rollout"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
@@ -86,6 +89,8 @@
 	shards      *claim.Shards
 	link        *peer.Link
 	types       *machineTypes
+	// rollouts is this node's copy of the stored rollouts; nil where drains are off.
+	rollouts *state.Mirror
 }
 
 // newController connects the parts; nothing runs yet.
@@ -106,9 +111,15 @@
 		pool.Peers = c.link.ForShard(shard)
 		pool.OnTerm = func(ctx context.Context, t *claim.Term) { c.provision(ctx, pool, shard, t) }
 	}
+	if set.DrainsEnabled() {
+		c.rollouts = state.NewMirror(c.state, rollout.Prefix, rolloutNews)
+	}
 	return c
 }
 
+// rolloutNews spaces the calls for news of rollouts.
+const rolloutNews = 200 * time.Millisecond
+
 // refuse ends the process: with this store it must not take part.
 func refuse(err error) {
 	fmt.Fprintln(os.Stderr, "pebbletrail: "+strings.ReplaceAll(err.Error(), "\n", "; "))
@@ -128,8 +139,14 @@
 		}
 	}()
 	go c.shards.Run(ctx)
+	var operators func(*echo.Echo)
+	if c.rollouts != nil {
+		go c.rollouts.Run(ctx)
+		operators = c.drainService().Routes
+	}
 	site := &intake.Site{
-		Version: version,
+		Operators: operators,
+		Version:   version,
 		Jobs: &intake.JobService{Set: c.set, State: c.state, Jobs: c.shards.Jobs(), LeaderNotifier: c.link, Writer: c.incarnation,
 			Types: c.types.known},
 		Heartbeats: c.shards,
@@ -155,10 +172,31 @@
 		t.Cluster.SetTypes(ts)
 	}
 	p.OnTypes = func(ts []placement.Type) { c.types.store(ctx, t.Committer, ts) }
+	if c.rollouts != nil && c.set.Shards() == 1 {
+		runner := &rollout.Runner{Copy: c.rollouts, Store: t.Committer, Fleet: t.Cluster, Writer: c.incarnation, Limits: c.storeLimits()}
+		go runner.Run(ctx)
+	}
 	p.Adopt(t.Intents)
 	p.Run(ctx)
 }
 
+// drainService carries out the operators' commands on rollouts.
+func (c *controller) drainService() *rollout.Service {
+	return &rollout.Service{Copy: c.rollouts, State: c.state, Leader: c.link, Writer: c.incarnation, Limits: c.storeLimits(),
+		Installation: func() rollout.Installation {
+			in := rollout.Installation{Zones: c.set.Params.Zones, Shards: c.set.Shards()}
+			for _, t := range c.types.known() {
+				in.Types = append(in.Types, t.Label)
+			}
+			return in
+		}}
+}
+
+// storeLimits are the state service's limits as rollouts use them.
+func (c *controller) storeLimits() rollout.Limits {
+	return rollout.Limits{ValueBytes: int(c.set.Params.State.ValueKB * 1024), TxnOps: c.set.Params.State.TxnOps}
+}
+
 // readyWithin is how recent the last successful call to the state service must be.
 const readyWithin = 2500 * time.Millisecond
 
--- a/internal/claim/apply.go
+++ b/internal/claim/apply.go
@@ -10,6 +10,11 @@
 // Apply writes other keys of the leader's, such as hire intents, under the same
 // condition as every leader write: that the generation still stands.
 func (c *Committer) Apply(ctx context.Context, ops []state.Op) error {
+	return c.ApplyIf(ctx, nil, ops)
+}
+
+// ApplyIf is Apply under further conditions.
+func (c *Committer) ApplyIf(ctx context.Context, when []state.Condition, ops []state.Op) error {
 	c.turn <- struct{}{}
 	defer func() { <-c.turn }()
 	limit := int(c.Cluster.set.Params.State.ValueKB * 1024)
@@ -18,6 +23,7 @@
 			return fmt.Errorf("%w: %d bytes at %s, of at most %d", state.ErrMalformed, len(op.Value), op.Put, limit)
 		}
 	}
-	_, err := c.State.Commit(ctx, state.Txn{When: []state.Condition{{Key: c.Keys.Generation(), Revision: c.GenStamp}}, Then: ops}, state.Normal)
+	when = append([]state.Condition{{Key: c.Keys.Generation(), Revision: c.GenStamp}}, when...)
+	_, err := c.State.Commit(ctx, state.Txn{When: when, Then: ops}, state.Normal)
 	return err
 }
--- a/internal/claim/cluster_state.go
+++ b/internal/claim/cluster_state.go
@@ -50,6 +50,9 @@
 	hintSeq                            uint64         // counts what the others should know
 	first                              ids.Generation // the term's first generation
 
+	disruption *disruption // what rollouts want; nil where drains are off
+	began      time.Time   // the term
+
 	quota *quota.Book // what each team uses and may still have
 	// lackSince is since when the cloud refuses what waiting jobs need, othersLack whether
 	// another shard tells the same, and gaveUp when a machine was last given up for that.
@@ -107,6 +110,7 @@
 // newShardState makes the cluster state of one term of leading a shard.
 func newShardState(set *config.Settings, writer string, gen ids.Generation, trustSilence time.Time, shard ids.Shard) *ClusterState {
 	return &ClusterState{
+		disruption: newDisruption(set), began: time.Now(),
 		shard: shard, keys: record.KeysOf(shard, set.Shards()),
 		elsewhere: func(ids.Job) (record.Status, bool) { return "", false },
 		set:       set, writer: writer, gen: gen, first: gen,
--- a/internal/claim/explain.go
+++ b/internal/claim/explain.go
@@ -35,6 +35,8 @@
 			st = "uncertain, to be stopped: " + p.why
 		case p.stopping:
 			st += ", stopping: " + p.why
+		case p.evicted:
+			st += ", to be moved by a rollout"
 		case !p.sent:
 			st = "marked"
 		case !p.seen:
--- a/internal/claim/job.go
+++ b/internal/claim/job.go
@@ -29,6 +29,7 @@
 	since     time.Time // placed
 	ranSince  time.Time // first seen running
 
+	evicted  bool // a rollout's permit to stop it was decided
 	stopping bool
 	leeway   ids.Seconds
 	stopAt   time.Time
--- a/internal/claim/listed.go
+++ b/internal/claim/listed.go
@@ -92,6 +92,9 @@
 		return nil
 	}
 	b.emptying = ""
+	if b.disruption != nil && (b.disruption.orders == nil || len(b.disruption.orders.Machines) > 0) {
+		return nil // one reason at a time to move replicas that nobody has to move
+	}
 	var out []Emptiable
 	worth := map[ids.Machine]float64{}
 next:
--- a/internal/claim/needs.go
+++ b/internal/claim/needs.go
@@ -81,7 +81,7 @@
 		types = append(types, t)
 	}
 	sort.Slice(types, func(x, y int) bool { return types[x].Label < types[y].Label })
-	ds = b.demands(now)
+	ds = append(b.demands(now), b.surgeDemands()...)
 	if !b.othersLack {
 		ds = append(ds, b.keeps()...)
 	}
--- a/internal/claim/recovery.go
+++ b/internal/claim/recovery.go
@@ -58,6 +58,7 @@
 			Token: at.Token, sent: true, since: now, stopping: j.cancelled(), why: "cancelled"})
 	})
 	j.Rec.Places = nil
+	b.loadEvictions(j)
 	b.joinPipelines(j)
 	b.finishIfOver(j)
 	return j
--- a/internal/claim/returns.go
+++ b/internal/claim/returns.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"fmt"
 	"log/slog"
 	"slices"
 	"sort"
@@ -21,7 +22,7 @@
 	si := b.listen()
 	si.on, _ = b.coming(now)
 	for _, m := range b.roster.Machines {
-		if needed[m.Name] || !m.Heard {
+		if needed[m.Name] || !m.Heard || b.keptByRollout(m.Name) {
 			m.NeededAt = now
 		}
 		// Dear machines are not kept by cheap work that could run elsewhere.
@@ -42,8 +43,15 @@
 	return out
 }
 
+// keptByRollout tells that a machine replaces another one and is still observed.
+func (b *ClusterState) keptByRollout(name ids.Machine) bool {
+	return b.disruption != nil && b.disruption.orders != nil && b.disruption.orders.Keep[name]
+}
+
 func (b *ClusterState) whyReturn(m *worker.Machine, now time.Time, silentAfter time.Duration, needed map[ids.Machine]bool, si *silence) string {
 	empty := len(b.placesOn(m.Name)) == 0
+	order, _ := b.disruption.ordered(m.Name)
+	kept := needed[m.Name] || b.keptByRollout(m.Name)
 	switch {
 	case m.Failed:
 		return "it stopped by itself"
@@ -60,16 +68,18 @@
 	case m.Heard && m.Failures >= 3 && now.Sub(m.Unreached) > b.silentFor(m) && si.alone(m):
 		return "nothing reaches it"
 	case !m.Heard && m.Booting:
-		return b.whyNotAwaited(m, needed[m.Name], si.on, now)
+		return b.whyNotAwaited(m, kept, si.on, now)
 	case !m.Heard && !m.Booting && si.alone(m) && (now.Sub(m.Born) > 2*silentAfter || !empty && (m.Probes >= 4 || m.Addr == "" && now.Sub(m.Born) > silentAfter)):
 		// It held tasks for an earlier leader and neither answers nor is
 		// listed: returning it proves its tasks gone.
 		return "up but never heard"
 	case !m.Heard && !m.Booting && si.dark(m.Zone) && b.trustSilence.Sub(now) < b.set.Params.Workers.LeaseS.Duration()*2/3 && b.movable(m, si):
 		return "its zone is dark, and its replicas can start elsewhere"
-	case m.Heard && empty && !needed[m.Name] && b.othersLack:
+	case order.Return && empty:
+		return fmt.Sprintf("rollout %s has emptied it", order.Rollout)
+	case m.Heard && empty && !kept && b.othersLack:
 		return givenUp
-	case m.Heard && empty && !needed[m.Name] && now.Sub(m.IdleSince).Seconds() > b.set.Own.IdleReturnS && now.Sub(m.HeldSince) > time.Minute:
+	case m.Heard && empty && !kept && now.Sub(m.IdleSince).Seconds() > b.set.Own.IdleReturnS && now.Sub(m.HeldSince) > time.Minute:
 		return "idle"
 	}
 	return ""
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -78,11 +78,12 @@
 func (b *ClusterState) Plan(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.lost || len(b.types) == 0 {
+	if b.lost || len(b.types) == 0 || b.disruption.awaitsOrders() {
 		return
 	}
 	defer measure.Process.Took("planning pass", time.Now())
 	b.drains(now)
+	b.evict(now)
 	b.payOwed()
 	ps := newPass(now)
 	b.examinedAtHold = b.machinesExamined
--- a/internal/claim/shards_test.go
+++ b/internal/claim/shards_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/pebbletrail/pebbletrail/internal/claim"
 	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/fake"
@@ -87,7 +89,7 @@
 			set.Others = append(set.Others, config.Other{HostName: ids.Node(other)})
 		}
 	}
-	set.Features = &config.Features{Shards: uint32(c.count)}
+	set.Features = &config.Features{Shards: proto.Uint32(uint32(c.count))}
 	return set
 }
 
--- a/internal/config/features.go
+++ b/internal/config/features.go
@@ -17,7 +17,7 @@
 )
 
 // DefaultFeatures are the features when no file names any.
-func DefaultFeatures() *Features { return &Features{Shards: defaultShards} }
+func DefaultFeatures() *Features { return &Features{} }
 
 // LoadFeatures reads the features' file into the settings and checks it; without a path the
 // defaults stay.
@@ -43,9 +43,12 @@
 	}
 	limits := &s.Params.State
 	most := max(1, min(int(limits.WriteRPS*s.Own.OwnerShare/minShardWrites), int(limits.RPS*s.Own.OwnerShare*2/3/minShardCalls)))
-	if n := int(features.Shards); n < 1 || n > most {
+	if n := features.shardCount(); n < 1 || n > most {
 		return fmt.Errorf("shards: must be 1 to %d with these limits of the state service: %d", most, n)
 	}
+	if err := s.checkDrains(features.Drains); err != nil {
+		return err
+	}
 	s.Features = features
 	return nil
 }
@@ -55,5 +58,13 @@
 	if s.Features == nil {
 		return defaultShards
 	}
-	return int(s.Features.Shards)
+	return s.Features.shardCount()
+}
+
+// shardCount is the number of shards, or the default where the file names none.
+func (f *Features) shardCount() int {
+	if f.Shards == nil {
+		return defaultShards
+	}
+	return int(*f.Shards)
 }
--- a/internal/fleet/provisioner.go
+++ b/internal/fleet/provisioner.go
@@ -128,14 +128,17 @@
 		p.Cluster.ShareRoom(lack, part, time.Now())
 	}
 	dark := p.Cluster.DarkZones()
+	closed := p.Cluster.ClosedZones()
 	ds, ups, types := p.Cluster.Needs(time.Now())
 	hires, needed := placement.Rent(ds, ups, types, func(label, zone string, spot bool) bool {
-		return !dark[zone] && !p.refused[offer{label, zone, spot}].After(now)
+		_, gone := closed[zone]
+		return !gone && !dark[zone] && !p.refused[offer{label, zone, spot}].After(now)
 	})
 	if p.OthersLack != nil {
 		p.Cluster.SetLacking(p.lacks(hires, now), now)
 	}
 	p.returns(ctx, needed)
+	p.rentReplacements(ctx, now)
 	if len(p.unsure) > 0 || len(p.open) > 0 || !p.list.complete {
 		return // what they rent is not known yet
 	}
@@ -230,6 +233,7 @@
 	case err == nil:
 		slog.Info("hired", "hire", in.Name, "type", in.Type, "zone", in.Zone, "spot", in.Spot, "asked", in.Count, "got", len(names))
 		p.Cluster.Hired(names, placement.Hire{Type: in.Type, Zone: in.Zone, Spot: in.Spot}, time.Now())
+		p.Cluster.DrainHireAnswered(in.Name, names)
 		if len(names) < in.Count {
 			p.refused[offer{in.Type, in.Zone, in.Spot}] = time.Now().Add(15 * time.Second)
 		}
--- a/internal/intake/http.go
+++ b/internal/intake/http.go
@@ -32,6 +32,8 @@
 	Live func(ctx context.Context, id ids.Job) (lines []string, leader ids.Node, err error)
 	// Status describes the node.
 	Status func() any
+	// Operators adds routes for operators; nil: there are none.
+	Operators func(*echo.Echo)
 	// Version is the program's, told with the answers to health checks: while it is
 	// being replaced the controllers are told apart by it.
 	Version string
@@ -68,6 +70,9 @@
 	e.POST("/v2/runs/:id/cancel", s.cancel, users)
 	e.GET("/v2/runs/:id/explain", s.explain, users)
 	e.GET("/v2/status", func(c echo.Context) error { return c.JSON(200, s.Status()) }, s.limit(unknown))
+	if s.Operators != nil {
+		s.Operators(e)
+	}
 	return e
 }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -31,6 +31,8 @@
 	// FailedOn is on how many machines its tasks failed with none completed, so
 	// that a new leader need not find out again.
 	FailedOn int `json:"failedOn,omitempty"`
+	// Evictions are the tasks that drains may stop, until they run again.
+	Evictions []Eviction `json:"evictions,omitempty"`
 	// CancelledBy is the job whose cancellation ended this one, which needs it.
 	CancelledBy ids.Job `json:"cancelledBy,omitempty"`
 	// Writer and Seq tell a writer that lost an answer whether what it finds
--- /dev/null
+++ b/internal/rollout/waves.go
@@ -0,0 +1,29 @@
+package rollout
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+)
+
+// candidate is a machine that may be taken into the next wave.
+type candidate struct {
+	name    ids.Machine
+	part    int
+	machine Machine
+}
+
+// inOrder puts machines in the order in which waves take them, greedily: those on which nothing
+// blocks first, of these the ones with the least to move, so that each wave frees the most for
+// what it disturbs.
+func inOrder(candidates []candidate) []candidate {
+	slices.SortFunc(candidates, func(x, y candidate) int {
+		return cmp.Or(
+			cmp.Compare(min(len(x.machine.Blocked), 1), min(len(y.machine.Blocked), 1)),
+			cmp.Compare(x.machine.Steps, y.machine.Steps),
+			cmp.Compare(x.machine.Tasks, y.machine.Tasks),
+			cmp.Compare(x.name, y.name))
+	})
+	return candidates
+}
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -42,6 +42,7 @@
 	HeldSince time.Time // rental, as far as known
 	Booting   bool      // hired, not heard yet
 	Draining  string    // why nothing new goes there; empty: in use
+	Cordoned  bool      // by a rollout: nothing new goes there
 	Failed    bool      // the cloud says it stopped by itself
 	Deleting  bool
 	ReturnWhy string // why it is being deleted
@@ -208,7 +209,7 @@
 	if now.Sub(last) > 4*report.Duration()+2*time.Second {
 		return false
 	}
-	return m.Heard && m.Unreached.IsZero() && m.Draining == "" && !m.Failed && !m.Deleting && m.TakenAt.IsZero() &&
+	return m.Heard && m.Unreached.IsZero() && m.Draining == "" && !m.Cordoned && !m.Failed && !m.Deleting && m.TakenAt.IsZero() &&
 		m.Silent(now) < 2*report.Duration()+time.Second
 }
 
