--- /dev/null
+++ b/internal/claim/disruption_rule_test.go
@@ -0,0 +1,134 @@
+package claim_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/fake"
+)
+
+// disruptionRule watches, by the workers' own record, that no drain takes more of a team down than
+// its budget. In its scenarios nothing but drains, cancellations and spot notices stops tasks, so
+// every other stop is a drain's doing.
+type disruptionRule struct {
+	say    func(rule, what string)
+	rules  *rules
+	budget map[string]teamBudget
+
+	mu    sync.Mutex
+	tasks map[string]*watchedTask
+	// stops counts the drains' stops, by task.
+	stops map[string]int
+	// reclaimed are machines with a spot notice: what is stopped there is the cloud's doing.
+	reclaimed map[string]bool
+	most      map[string]int // the most that was down by drains, by team
+}
+
+// teamBudget is what the rule allows a team to have down at a time.
+type teamBudget struct{ replicas, interrupted int }
+
+// watchedTask is where a task stands, as its workers saw it.
+type watchedTask struct {
+	began   bool
+	up      bool
+	downAt  time.Time
+	drained bool // it was last stopped by a drain
+}
+
+// knownWithin is how long after a failure the leader may not know of it: two and a half report
+// intervals until silence counts, and the time of a permit that was stored just before.
+const knownWithin = 12 * time.Second
+
+func newDisruptionRule(r *rules, say func(rule, what string), budget map[string]teamBudget) *disruptionRule {
+	return &disruptionRule{say: say, rules: r, budget: budget, tasks: map[string]*watchedTask{}, stops: map[string]int{},
+		reclaimed: map[string]bool{}, most: map[string]int{}}
+}
+
+// Event takes what a worker did to a task.
+func (d *disruptionRule) Event(e fake.Event) {
+	d.rules.Event(e)
+	job, _, _ := strings.Cut(e.Task, "/")
+	d.rules.mu.Lock()
+	wanted, cancelled := d.rules.job(job).wants, !d.rules.job(job).asked.never()
+	d.rules.mu.Unlock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	task := d.tasks[e.Task]
+	if task == nil {
+		task = &watchedTask{}
+		d.tasks[e.Task] = task
+	}
+	if e.Start {
+		task.began, task.up, task.drained = true, true, false
+		return
+	}
+	if e.Cause == "busy" {
+		return
+	}
+	task.up, task.downAt = false, e.At
+	task.drained = e.Cause == "stopped" && !cancelled && !d.reclaimed[e.Worker.Name]
+	if e.Cause == "done" || cancelled {
+		delete(d.tasks, e.Task)
+	}
+	if task.drained {
+		d.stops[e.Task]++
+		d.check(e, wanted.Team)
+	}
+}
+
+// check looks at a team right after a drain stopped one of its tasks.
+func (d *disruptionRule) check(e fake.Event, team string) {
+	byDrains, known, interrupted := 0, 0, 0
+	for name, task := range d.tasks {
+		job, _, _ := strings.Cut(name, "/")
+		d.rules.mu.Lock()
+		wanted := d.rules.job(job).wants
+		d.rules.mu.Unlock()
+		if wanted.Team != team || !task.began || task.up {
+			continue
+		}
+		if wanted.Shape != "standing" {
+			if task.drained {
+				interrupted++
+			}
+			continue
+		}
+		if task.drained {
+			byDrains++
+		}
+		if task.drained || e.At.Sub(task.downAt) > knownWithin {
+			known++
+		}
+	}
+	d.most[team] = max(d.most[team], byDrains)
+	allowed := d.budget[team]
+	if byDrains > allowed.replicas || known > allowed.replicas {
+		d.say("disruption", fmt.Sprintf("the stop of %s on %s makes %d replicas of %s down, %d of them by drains, of at most %d",
+			e.Task, e.Worker.Name, known, team, byDrains, allowed.replicas))
+	}
+	if interrupted > allowed.interrupted {
+		d.say("disruption", fmt.Sprintf("the stop of %s on %s makes %d tasks of %s interrupted, of at most %d",
+			e.Task, e.Worker.Name, interrupted, team, allowed.interrupted))
+	}
+}
+
+// reclaim notes a machine that the cloud takes back.
+func (d *disruptionRule) reclaim(machine string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reclaimed[machine] = true
+}
+
+// stopped counts the drains' stops of a job's tasks.
+func (d *disruptionRule) stopped(job string) (n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for task, stops := range d.stops {
+		if strings.HasPrefix(task, job+"/") {
+			n += stops
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/claim/drain_cluster_test.go
@@ -0,0 +1,542 @@
+package claim_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/claim"
+	"github.com/pebbletrail/pebbletrail/internal/config"
+	"github.com/pebbletrail/pebbletrail/internal/fake"
+	"github.com/pebbletrail/pebbletrail/internal/fleet"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/intake"
+	"github.com/pebbletrail/pebbletrail/internal/record"
+	"github.com/pebbletrail/pebbletrail/internal/rollout"
+	"github.com/pebbletrail/pebbletrail/internal/state"
+	"github.com/pebbletrail/pebbletrail/internal/worker"
+)
+
+// drainNodes are the controllers of scenarios with drains.
+var drainNodes = []string{"a", "b", "c", "d", "e"}
+
+// drainFeatures are the budgets of team red in most scenarios: one replica, two other tasks.
+const drainFeatures = `drains { teams { team: "red" budget { replicas_down: 1 tasks_interrupted: 2 } } }`
+
+// drainNode is a controller in a cluster with drains.
+type drainNode struct {
+	cluster *drainCluster
+	name    string
+	pool    *claim.Pool
+	drains  *rollout.Service
+	cancel  context.CancelFunc
+}
+
+// drainCluster is five controllers, a cloud that rents and returns machines, and their workers.
+type drainCluster struct {
+	*testCluster
+	cloud    *fake.Cloud
+	rule     *disruptionRule
+	features string
+	// boots tells how long a machine takes to come up; negative: it never does.
+	boots func(name string) time.Duration
+
+	hookMu  sync.Mutex
+	onEvent func(e fake.Event)
+	up      map[string]*drainNode
+	workers map[string]context.CancelFunc // of the machines that run
+	known   map[string]bool               // machines of the cloud seen so far
+}
+
+// drainOptions vary a scenario.
+type drainOptions struct {
+	features string                // drainFeatures if empty
+	budget   map[string]teamBudget // what the rule allows; that of drainFeatures if nil
+	room     int                   // machines that the cloud has
+	teams    []config.Team         // beside red
+}
+
+// drainScenario runs f in a cluster with as many machines in each of the two zones as named.
+func drainScenario(t *testing.T, machines int, options drainOptions, f func(t *testing.T, c *drainCluster)) {
+	scenario(t, func(t *testing.T, w *testCluster) {
+		c := &drainCluster{testCluster: w, cloud: fake.NewCloud(options.room), features: options.features,
+			boots: func(string) time.Duration { return 2 * time.Second },
+			up:    map[string]*drainNode{}, workers: map[string]context.CancelFunc{}, known: map[string]bool{}}
+		if c.features == "" {
+			c.features = drainFeatures
+		}
+		budget := options.budget
+		if budget == nil {
+			budget = map[string]teamBudget{"red": {1, 2}}
+		}
+		w.teams = options.teams
+		w.rules.set = w.settings("a")
+		c.rule = newDisruptionRule(w.rules, func(rule, what string) { t.Errorf("rule broken: %s: %s", rule, what) }, budget)
+		w.net.Listen("cloud:1", c.cloud)
+		for _, zone := range []string{"north", "south"} {
+			c.rent("first-"+zone, zone, machines)
+		}
+		c.cloud.NotifyDeletions(c.endMachine)
+		go c.runMachines()
+		for _, name := range drainNodes {
+			c.startNode(name)
+		}
+		c.until(30*time.Second, "a leader hears of all machines", func() bool {
+			leader := c.leader()
+			return leader != nil && leader.pool.Cluster().Summary()["heard"] == 2*machines
+		})
+		f(t, c)
+	})
+}
+
+// rent has the cloud rent machines past the controllers.
+func (c *drainCluster) rent(hire, zone string, count int) {
+	body := fmt.Sprintf(`{"hire":%q,"build":"small","yard":%q,"loaners":false,"count":%d}`, hire, zone, count)
+	res, err := c.net.Client("test").Post("http://cloud:1/hosts", "application/json", strings.NewReader(body))
+	if err != nil || res.StatusCode != 200 {
+		c.t.Fatal(res, err)
+	}
+}
+
+// runMachines boots what the cloud rents and ends what it takes back.
+func (c *drainCluster) runMachines() {
+	for c.ctx.Err() == nil {
+		for _, host := range c.cloud.Hosts() {
+			if c.known[host.Name] {
+				continue
+			}
+			c.known[host.Name] = true
+			if boot := c.boots(host.Name); boot >= 0 {
+				go func() {
+					c.rest(boot)
+					c.boot(host.Name, host.Zone)
+				}()
+			}
+		}
+		select {
+		case <-c.ctx.Done():
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// rest waits, but not beyond the scenario's end.
+func (c *drainCluster) rest(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-c.ctx.Done():
+	}
+}
+
+// boot starts a machine's worker.
+func (c *drainCluster) boot(name, zone string) {
+	k := &fake.Worker{Name: name, Addr: name + ":9000", Type: "small", Zone: zone, Net: c.net, Names: drainNodes,
+		Report: 2 * time.Second, Lease: 20 * time.Second}
+	k.NotifyEvents(func(e fake.Event) {
+		c.rule.Event(e)
+		c.hook(e)
+	})
+	for _, node := range drainNodes {
+		k.Nodes = append(k.Nodes, node+":8080")
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	deleted := slices.Contains(c.cloud.Gone(), name)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if deleted {
+		cancel()
+		return
+	}
+	c.testCluster.workers = append(c.testCluster.workers, k)
+	c.workers[name] = cancel
+	go k.Run(ctx)
+}
+
+// hook passes an event on to the scenario's own listener.
+func (c *drainCluster) hook(e fake.Event) {
+	c.hookMu.Lock()
+	defer c.hookMu.Unlock()
+	if c.onEvent != nil {
+		c.onEvent(e)
+	}
+}
+
+// endMachine takes a machine away with everything on it.
+func (c *drainCluster) endMachine(name string) {
+	c.mu.Lock()
+	cancel := c.workers[name]
+	delete(c.workers, name)
+	c.mu.Unlock()
+	if cancel == nil {
+		return
+	}
+	cancel()
+	c.net.Listen(name+":9000", nil)
+	c.worn(name).TakeAway()
+}
+
+// drainSettings are a node's settings.
+func (c *drainCluster) drainSettings(name string) *config.Settings {
+	set := c.settings("a")
+	set.HostName, set.Others = ids.Node(name), nil
+	for _, other := range drainNodes {
+		if other != name {
+			set.Others = append(set.Others, config.Other{HostName: ids.Node(other)})
+		}
+	}
+	if err := set.ParseFeatures([]byte(c.features)); err != nil {
+		c.t.Fatal(err)
+	}
+	return set
+}
+
+func (c *drainCluster) startNode(name string) *drainNode {
+	set := c.drainSettings(name)
+	c.lives++
+	writer := fmt.Sprintf("%s.%d", name, c.lives)
+	ctx, cancel := context.WithCancel(c.ctx)
+	st := state.NewClient("state:1", c.net.Client(name), state.NewBudget(800, 400, 5, 0.6))
+	n := &drainNode{cluster: c, name: name, cancel: cancel}
+	copied := state.NewMirror(st, rollout.Prefix, 200*time.Millisecond)
+	limits := rollout.Limits{ValueBytes: int(set.Params.State.ValueKB * 1024), TxnOps: set.Params.State.TxnOps}
+	n.pool = claim.NewPool(set, st, &worker.Commander{HTTP: c.net.Client(name), Timeout: 3 * time.Second}, writer)
+	n.pool.Peers = n
+	n.pool.OnTerm = func(ctx context.Context, t *claim.Term) {
+		t.Cluster.SetTypes(types())
+		runner := &rollout.Runner{Copy: copied, Store: t.Committer, Fleet: t.Cluster, Writer: writer, Limits: limits}
+		go runner.Run(ctx)
+		p := &fleet.Provisioner{Cloud: fleet.NewCloud("cloud:1", c.net.Client(name), 20), Cluster: t.Cluster, Store: t.Committer, Gen: t.Gen,
+			Keys: record.KeysOf(0, 1), Sure: func() bool { return n.pool.Sure(t) }, ListEvery: 2 * time.Second}
+		p.Adopt(t.Intents)
+		p.Run(ctx)
+	}
+	n.drains = &rollout.Service{Copy: copied, State: st, Leader: n, Writer: writer, Limits: limits,
+		Installation: func() rollout.Installation {
+			return rollout.Installation{Zones: set.Params.Zones, Types: []string{"small"}, Shards: set.Shards()}
+		}}
+	jobs := &intake.JobService{Set: set, State: st, Jobs: n.pool.Jobs(), LeaderNotifier: n, Writer: writer, Types: types}
+	c.net.Listen(name+":8080", (&intake.Site{Jobs: jobs, Heartbeats: n.pool, Ready: func() bool { return true },
+		Live:   func(context.Context, ids.Job) ([]string, ids.Node, error) { return nil, "", nil },
+		Status: func() any { return nil }}).Handler())
+	c.mu.Lock()
+	c.up[name] = n
+	c.mu.Unlock()
+	go st.Watch(ctx, record.KeysOf(0, 1).Generation())
+	go copied.Run(ctx)
+	go n.pool.Run(ctx)
+	return n
+}
+
+// end ends a node like a lost process.
+func (c *drainCluster) end(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n := c.up[name]; n != nil {
+		n.cancel()
+	}
+	delete(c.up, name)
+	c.net.Listen(name+":8080", nil)
+}
+
+// leader is the node that leads; nil if none does.
+func (c *drainCluster) leader() *drainNode {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, name := range drainNodes {
+		if n := c.up[name]; n != nil && n.pool.Cluster() != nil {
+			return n
+		}
+	}
+	return nil
+}
+
+// follower is a node that is up and does not lead.
+func (c *drainCluster) follower() *drainNode {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, name := range drainNodes {
+		if n := c.up[name]; n != nil && n.pool.Cluster() == nil {
+			return n
+		}
+	}
+	c.t.Fatal("every node leads")
+	return nil
+}
+
+// The other controllers, as one of them sees them.
+
+func (n *drainNode) AllStopped(_ context.Context, gen ids.Generation, _ ...ids.Node) bool {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	all := true
+	for name, o := range n.cluster.up {
+		if name != n.name {
+			all = !n.cluster.cutOff(n.name, name) && o.pool.Superseded(gen) && all
+		}
+	}
+	return all
+}
+func (n *drainNode) Alone() bool { return false }
+func (n *drainNode) Served(node ids.Node) bool {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	return n.cluster.up[string(node)] != nil
+}
+func (n *drainNode) NotifyLeader(ids.Job, ids.Revision, *record.Record, json.RawMessage) <-chan struct{} {
+	done := make(chan struct{})
+	close(done)
+	return done
+}
+
+// PlanDrain asks the leader for a plan.
+func (n *drainNode) PlanDrain(_ context.Context, spec *rollout.Spec) (*rollout.Preview, error) {
+	leader := n.cluster.leader()
+	if leader == nil {
+		return nil, claim.ErrNotLeader
+	}
+	return rollout.MakePreview(spec, leader.pool.Cluster().DrainPlanner(), time.Now())
+}
+
+// DrainWaits asks the leader what machines wait for.
+func (n *drainNode) DrainWaits(context.Context) (map[ids.Machine][]string, error) {
+	leader := n.cluster.leader()
+	if leader == nil {
+		return nil, claim.ErrNotLeader
+	}
+	return leader.pool.Cluster().DrainWaits(), nil
+}
+
+// accept submits a job, at another node each time it is told to come back.
+func (c *drainCluster) accept(s map[string]any) {
+	c.t.Helper()
+	for try := range 60 {
+		if code, _ := c.call(drainNodes[try%len(drainNodes)], "POST", "/v2/runs", s); code == 201 || code == 200 {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+	c.t.Fatalf("%v was never accepted", s["uid"])
+}
+
+// service submits a service and waits until it is up for long enough to count.
+func (c *drainCluster) service(id string, replicas int, changes ...any) {
+	c.t.Helper()
+	s := spec(id, "standing", replicas)
+	s["guessS"] = 0
+	for i := 0; i < len(changes); i += 2 {
+		s[changes[i].(string)] = changes[i+1]
+	}
+	c.accept(s)
+	c.until(time.Minute, id+" is up", func() bool { return c.running(id) == replicas })
+	time.Sleep(8 * time.Second)
+}
+
+// running counts the tasks of a job that are on machines.
+func (c *drainCluster) running(id string) (n int) {
+	c.mu.Lock()
+	workers := slices.Clone(c.testCluster.workers)
+	c.mu.Unlock()
+	for _, k := range workers {
+		for _, task := range k.Live() {
+			if strings.HasPrefix(task, id+"/") {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// drain is a description of a rollout over a zone's machines, or those named.
+func drain(name string, machines ...ids.Machine) *rollout.Spec {
+	spec := &rollout.Spec{Name: rollout.Name(name), WaveSize: 2, Deadline: 60, AtDeadline: rollout.Wait}
+	if spec.Select.Machines = machines; len(machines) == 0 {
+		spec.Select.Zone = "north"
+	}
+	return spec
+}
+
+// begin starts a rollout at some controller.
+func (c *drainCluster) begin(spec *rollout.Spec) {
+	c.t.Helper()
+	if err := c.try(func(n *drainNode) error { _, err := n.drains.Start(c.ctx, spec); return err }); err != nil {
+		c.t.Fatalf("start of %s: %v", spec.Name, err)
+	}
+}
+
+// do gives a command at some controller that does not lead.
+func (c *drainCluster) do(name string, command rollout.Command) {
+	c.t.Helper()
+	err := c.try(func(n *drainNode) error { _, err := n.drains.Do(c.ctx, rollout.Name(name), command); return err })
+	if err != nil {
+		c.t.Fatalf("%s %s: %v", command, name, err)
+	}
+}
+
+// try calls a controller until one can answer.
+func (c *drainCluster) try(call func(n *drainNode) error) (err error) {
+	for range 30 {
+		if err = call(c.follower()); err == nil || !strings.Contains(err.Error(), rollout.ErrNotNow.Error()) {
+			return err
+		}
+		time.Sleep(time.Second)
+	}
+	return err
+}
+
+// state is how a rollout is stored.
+func (c *drainCluster) state(name string) (r rollout.Record) {
+	json.Unmarshal(c.store.Value("rollout/run/"+name), &r)
+	return r
+}
+
+// reaches waits until a rollout has a state.
+func (c *drainCluster) reaches(name string, s rollout.State, d time.Duration) {
+	c.t.Helper()
+	for end := time.Now().Add(d); c.state(name).State != s; {
+		if time.Now().After(end) {
+			waits, _ := c.follower().DrainWaits(c.ctx)
+			c.t.Fatalf("%s is not %s within %v: %s; waits: %v", name, s, d, c.store.Value("rollout/run/"+name), waits)
+		}
+		time.Sleep(100 * time.Millisecond)
+		c.never()
+	}
+}
+
+// waitsFor waits until some machine waits for a reason with a text in it.
+func (c *drainCluster) waitsFor(text string) {
+	c.t.Helper()
+	c.until(time.Minute, "a machine waits: "+text, func() bool { return c.waiting(text) })
+}
+
+// waiting tells whether some machine waits for a reason with a text in it.
+func (c *drainCluster) waiting(text string) bool {
+	waits, err := c.follower().DrainWaits(c.ctx)
+	if err != nil {
+		return false
+	}
+	for _, whys := range waits {
+		if strings.Contains(strings.Join(whys, "; "), text) {
+			return true
+		}
+	}
+	return false
+}
+
+// in lists the machines of a zone that run.
+func (c *drainCluster) in(zone string) (names []ids.Machine) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.testCluster.workers {
+		if _, runs := c.workers[k.Name]; runs && k.Zone == zone {
+			names = append(names, ids.Machine(k.Name))
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// cordoned counts the machines that the leader keeps closed to new work.
+func (c *drainCluster) cordoned() int {
+	leader := c.leader()
+	if leader == nil {
+		return -1
+	}
+	return leader.pool.Cluster().Summary()["cordoned"].(int)
+}
+
+// never samples what holds in every scenario. Machines come and go here, so the list of workers
+// is copied first.
+func (c *drainCluster) never() {
+	c.t.Helper()
+	c.rules.Overdue()
+	c.mu.Lock()
+	workers := slices.Clone(c.testCluster.workers)
+	c.mu.Unlock()
+	at := map[string]string{}
+	for _, k := range workers {
+		for _, task := range k.Live() {
+			if at[task] != "" {
+				c.t.Fatalf("%s runs on %s and on %s", task, at[task], k.Name)
+			}
+			at[task] = k.Name
+		}
+	}
+}
+
+// until waits for a condition, at most d.
+func (c *drainCluster) until(d time.Duration, what string, f func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(d); !f(); {
+		if time.Now().After(end) {
+			var waits any
+			if leader := c.leader(); leader != nil {
+				waits = leader.pool.Cluster().DrainWaits()
+			}
+			c.t.Fatalf("not within %v: %s; waits: %v; store: %s", d, what, waits, c.store)
+		}
+		time.Sleep(100 * time.Millisecond)
+		c.never()
+	}
+}
+
+// hold watches that a condition stays true for d.
+func (c *drainCluster) hold(d time.Duration, what string, f func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if !f() {
+			c.t.Fatalf("no longer true: %s", what)
+		}
+		c.never()
+	}
+}
+
+// worn is a machine's worker.
+func (c *drainCluster) worn(name string) *fake.Worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.testCluster.worn(name)
+}
+
+// endSome lets tasks of a job end by themselves now and then, until the scenario ends.
+func (c *drainCluster) endSome(job string, rng *rand.Rand) {
+	for c.ctx.Err() == nil {
+		select {
+		case <-time.After(time.Second):
+		case <-c.ctx.Done():
+			return
+		}
+		c.mu.Lock()
+		workers := slices.Clone(c.testCluster.workers)
+		c.mu.Unlock()
+		for _, k := range workers {
+			for _, task := range k.Live() {
+				if strings.HasPrefix(task, job) && rng.IntN(8) == 0 {
+					k.End(task, "done")
+				}
+			}
+		}
+	}
+}
+
+// cut keeps a controller from the state service and the other controllers, not from workers.
+func (c *drainCluster) cut(name string) {
+	c.net.SetRule(func(from, to string, _ *http.Request, _ []byte) fake.Fate {
+		if from == name && to == "state:1" {
+			return fake.Swallow
+		}
+		return fake.Deliver
+	})
+}
+
+// with changes one field of a submission.
+func with(s map[string]any, field string, value any) map[string]any {
+	s[field] = value
+	return s
+}
--- /dev/null
+++ b/internal/claim/drain_test.go
@@ -0,0 +1,740 @@
+package claim_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/config"
+	"github.com/pebbletrail/pebbletrail/internal/fake"
+	"github.com/pebbletrail/pebbletrail/internal/rollout"
+)
+
+func TestAZoneIsEmptiedWithinTheBudget(t *testing.T) {
+	t.Parallel()
+	drainScenario(t, 4, drainOptions{room: 40}, func(t *testing.T, c *drainCluster) {
+		c.service("job-1", 6)
+		c.begin(drain("spring"))
+		c.reaches("spring", rollout.Ended, 6*time.Minute)
+		c.until(30*time.Second, "all replicas are up", func() bool { return c.running("job-1") == 6 })
+		if left := c.in("north"); len(left) > 0 {
+			t.Errorf("%v still run", left)
+		}
+		if n := c.rule.stopped("job-1"); n == 0 || n > 6 {
+			t.Errorf("%d stops", n)
+		}
+		if n := c.store.Count("rollout/left/"); n > 0 {
+			t.Errorf("%d parts are left over", n)
+		}
+	})
+}
+
+func TestAnEvictionWithoutAPermitIsNoticed(t *testing.T) {
+	t.Parallel()
+	// The planted fault: the controllers' budgets allow anything, the rule knows the true one.
+	noticed := false
+	drainScenario(t, 4, drainOptions{room: 40, features: `drains { teams { team: "red" budget { replicas_down: 99 tasks_interrupted: 99 } } }`},
+		func(t *testing.T, c *drainCluster) {
+			c.rule.say = func(string, string) { noticed = true }
+			c.service("job-1", 8)
+			c.begin(drain("spring"))
+			c.reaches("spring", rollout.Ended, 6*time.Minute)
+		})
+	if !noticed {
+		t.Error("the rule does not notice several replicas stopped at a time")
+	}
+}
+
+// leaderFailure is one way in which a leader fails.
+type leaderFailure struct {
+	name string
+	fail func(c *drainCluster, leader string)
+}
+
+// leaderFailures end the leader, cut it off, or have it stand still for longer than its lease.
+var leaderFailures = []leaderFailure{
+	{"it ends", func(c *drainCluster, leader string) { c.end(leader) }},
+	{"it ends and comes back", func(c *drainCluster, leader string) {
+		c.end(leader)
+		c.rest(300 * time.Millisecond)
+		c.startNode(leader)
+	}},
+	{"it is cut off from the state service", func(c *drainCluster, leader string) {
+		c.cut(leader)
+		c.rest(20 * time.Second)
+		c.net.SetRule(nil)
+	}},
+	{"it is refused by the state service", func(c *drainCluster, leader string) {
+		c.store.Refuse(leader, true)
+		c.rest(15 * time.Second)
+		c.store.Refuse(leader, false)
+	}},
+	{"it stands still", func(c *drainCluster, leader string) {
+		// What it sends waits, and is delivered after its successor has acted.
+		c.net.SetRule(func(from, to string, _ *http.Request, _ []byte) fake.Fate {
+			switch {
+			case from == leader:
+				return fake.Hold
+			case strings.HasPrefix(to, leader+":"):
+				return fake.Refuse
+			}
+			return fake.Deliver
+		})
+		c.rest(10 * time.Second)
+		c.net.SetRule(nil)
+		c.net.Release()
+	}},
+}
+
+// moment tells, from what the store carries out and the workers do, when a leader is to fail.
+type failureMoment struct {
+	name  string
+	store func(key string, value json.RawMessage) bool
+	event func(e fake.Event, drained bool) bool
+}
+
+// failureMoments are those between permit and stop, stop and start, start and the permit's return.
+var failureMoments = []failureMoment{
+	{name: "the permit is stored", store: func(key string, value json.RawMessage) bool {
+		return strings.HasPrefix(key, "job/") && strings.Contains(string(value), `"evictions"`)
+	}},
+	{name: "the task is stopped", event: func(e fake.Event, drained bool) bool { return !e.Start && e.Cause == "stopped" }},
+	{name: "the task starts elsewhere", event: func(e fake.Event, drained bool) bool { return e.Start && drained }},
+	{name: "the wave is stored", store: func(key string, value json.RawMessage) bool {
+		return strings.HasPrefix(key, "rollout/run/") && strings.Contains(string(value), `"draining"`)
+	}},
+	{name: "a machine is empty", store: func(key string, value json.RawMessage) bool {
+		return strings.HasPrefix(key, "rollout/run/") && strings.Contains(string(value), `"empty"`)
+	}},
+}
+
+// notify tells a listener, unless it has not looked since the last time.
+func notify(listener chan struct{}) {
+	select {
+	case listener <- struct{}{}:
+	default:
+	}
+}
+
+// failAt has the leader fail at a moment, the first few times that it comes.
+func (c *drainCluster) failAt(m failureMoment, times int, fail func(c *drainCluster, leader string)) {
+	signal := make(chan struct{}, 1)
+	drained := map[string]bool{}
+	if m.store != nil {
+		c.store.NotifyChanges(func(key string, value json.RawMessage) {
+			if m.store(key, value) {
+				notify(signal)
+			}
+		})
+	}
+	if m.event != nil {
+		c.hookMu.Lock()
+		defer c.hookMu.Unlock()
+		c.onEvent = func(e fake.Event) {
+			if m.event(e, drained[e.Task]) {
+				notify(signal)
+			}
+			drained[e.Task] = !e.Start && e.Cause == "stopped"
+		}
+	}
+	go func() {
+		for range times {
+			select {
+			case <-signal:
+			case <-c.ctx.Done():
+				return
+			}
+			if leader := c.leader(); leader != nil {
+				fail(c, leader.name)
+			}
+			for range 30 { // others come back before the next failure
+				if c.ctx.Err() != nil || c.leader() != nil {
+					break
+				}
+				c.rest(time.Second)
+			}
+			for _, name := range drainNodes {
+				c.mu.Lock()
+				missing := c.up[name] == nil
+				c.mu.Unlock()
+				if missing && c.ctx.Err() == nil {
+					c.startNode(name)
+				}
+			}
+			for len(signal) > 0 {
+				<-signal
+			}
+		}
+	}()
+}
+
+func TestALeaderThatFailsInTheMiddleOfAStepLosesNoPermit(t *testing.T) {
+	t.Parallel()
+	for _, m := range failureMoments {
+		for _, failure := range leaderFailures {
+			t.Run(m.name+", "+failure.name, func(t *testing.T) {
+				t.Parallel()
+				drainScenario(t, 4, drainOptions{room: 40}, func(t *testing.T, c *drainCluster) {
+					c.service("job-1", 6)
+					c.failAt(m, 3, failure.fail)
+					c.begin(drain("spring"))
+					c.reaches("spring", rollout.Ended, 15*time.Minute)
+					c.until(2*time.Minute, "all replicas are up", func() bool { return c.running("job-1") == 6 })
+					c.until(time.Minute, "no machine stays cordoned", func() bool { return c.cordoned() == 0 })
+					if n := c.rule.stopped("job-1"); n > 6 {
+						t.Errorf("%d stops of 6 replicas: a step was done twice", n)
+					}
+					c.until(time.Minute, "no eviction stays on the record", func() bool {
+						return !strings.Contains(string(c.store.Value("job/job-1")), `"evictions"`)
+					})
+				})
+			})
+		}
+	}
+}
+
+func TestAPermitThatIsStoredLateIsVoid(t *testing.T) {
+	t.Parallel()
+	// The transaction that stores a permit gets no answer and arrives after the successor's.
+	drainScenario(t, 4, drainOptions{room: 40}, func(t *testing.T, c *drainCluster) {
+		c.service("job-1", 6)
+		c.net.SetDelay(func() time.Duration { return 12 * time.Second })
+		late, old := 0, c.leader().name
+		c.net.SetRule(func(from, to string, r *http.Request, body []byte) fake.Fate {
+			if from == old && r.URL.Path == "/commit" && strings.Contains(string(body), `"evictions"`) {
+				late++
+				return fake.Late
+			}
+			return fake.Deliver
+		})
+		c.begin(drain("spring"))
+		c.until(30*time.Second, "a permit is sent", func() bool { return late > 0 })
+		c.end(old)
+		c.reaches("spring", rollout.Ended, 8*time.Minute)
+		c.until(time.Minute, "all replicas are up", func() bool { return c.running("job-1") == 6 })
+		if n := c.rule.stopped("job-1"); n > 6 {
+			t.Errorf("%d stops", n)
+		}
+	})
+}
+
+func TestAMachineOfTwoTeamsWaitsForBoth(t *testing.T) {
+	t.Parallel()
+	// Neither team may lose anything more: nothing of either is stopped, and both are named.
+	features := `drains { teams { team: "red" budget { replicas_down: 1 } } teams { team: "blue" budget { replicas_down: 0 } } }`
+	options := drainOptions{room: 40, features: features, teams: []config.Team{{Name: "blue", CPUsMax: 8}},
+		budget: map[string]teamBudget{"red": {1, 1}, "blue": {0, 1}}}
+	drainScenario(t, 1, options, func(t *testing.T, c *drainCluster) {
+		c.service("job-1", 2, "spread", true)
+		c.service("job-2", 2, "owner", "blue", "spread", true)
+		c.begin(drain("spring", c.in("north")...))
+		c.waitsFor("team blue: 0 of its 2 replicas are down, of at most 0")
+		c.hold(time.Minute, "nothing is stopped", func() bool { return c.rule.stopped("job-1") == 0 && c.rule.stopped("job-2") == 0 })
+		c.do("spring", rollout.AbortIt)
+		c.reaches("spring", rollout.Ended, time.Minute)
+		c.until(time.Minute, "the machine is in service again", func() bool { return c.cordoned() == 0 })
+	})
+}
+
+func TestTwoRolloutsInEachOthersWayBothEnd(t *testing.T) {
+	t.Parallel()
+	// The cloud has no more machines: what one rollout has to move fits only where the other one
+	// has cordoned. The younger makes way.
+	drainScenario(t, 2, drainOptions{room: 4}, func(t *testing.T, c *drainCluster) {
+		c.service("job-1", 4, "cores", 2, "ramGb", 8)
+		first, second := drain("first", c.in("north")...), drain("second", c.in("south")...)
+		first.Surge, second.Surge = true, true
+		first.WaveSize, second.WaveSize = 1, 1
+		c.begin(first)
+		c.begin(second)
+		c.until(4*time.Minute, "a machine is returned", func() bool { return len(c.in("north"))+len(c.in("south")) < 4 })
+		c.cloud.SetRoom(4)
+		c.reaches("first", rollout.Ended, 10*time.Minute)
+		c.reaches("second", rollout.Ended, 10*time.Minute)
+	})
+}
+
+func TestASecondRolloutOverTheSameMachineIsRefused(t *testing.T) {
+	t.Parallel()
+	drainScenario(t, 2, drainOptions{room: 10, features: `drains { default_budget { replicas_down: 0 } }`, budget: map[string]teamBudget{"red": {0, 1}}},
+		func(t *testing.T, c *drainCluster) {
+			c.service("job-1", 4)
+			c.begin(drain("spring", c.in("north")[0]))
+			refused := func(spec *rollout.Spec, want error) {
+				t.Helper()
+				if _, err := c.follower().drains.Start(c.ctx, spec); !errors.Is(err, want) {
+					t.Errorf("%s: %v, not %v", spec.Name, err, want)
+				}
+			}
+			refused(drain("summer"), rollout.ErrOverlap)
+			other := drain("spring", c.in("north")[1])
+			refused(other, rollout.ErrOtherContents)
+			refused(drain("autumn", "host-999999"), rollout.ErrBadSpec)
+			if _, err := c.follower().drains.Start(c.ctx, drain("spring", c.in("north")[0])); err != nil {
+				t.Errorf("the same start again: %v", err)
+			}
+			// Of two starts over the same machine at the same moment one is taken.
+			taken := make(chan error, 2)
+			for i, n := range []*drainNode{c.follower(), c.leader()} {
+				go func() {
+					_, err := n.drains.Start(c.ctx, drain(fmt.Sprint("both-", i), c.in("south")...))
+					taken <- err
+				}()
+			}
+			if a, b := <-taken, <-taken; (a == nil) == (b == nil) {
+				t.Errorf("of two starts at the same moment: %v and %v", a, b)
+			}
+		})
+}
+
+func TestAReplicaThatFailsAfterThePermitStopsTheNext(t *testing.T) {
+	t.Parallel()
+	// A neighbour fails by itself at the moment when a permit is stored: the stop waits until it
+	// is up again, since the budget is used up.
+	drainScenario(t, 3, drainOptions{room: 40}, func(t *testing.T, c *drainCluster) {
+		c.service("job-1", 6)
+		failed := make(chan struct{}, 1)
+		c.store.NotifyChanges(func(key string, value json.RawMessage) {
+			if key == "job/job-1" && strings.Contains(string(value), `"evictions"`) {
+				notify(failed)
+			}
+		})
+		go func() {
+			for range 3 {
+				select {
+				case <-failed:
+				case <-c.ctx.Done():
+					return
+				}
+				for _, name := range c.in("south") {
+					if tasks := c.worn(string(name)).Live(); len(tasks) > 0 {
+						c.worn(string(name)).End(tasks[0], "error")
+						break
+					}
+				}
+				c.rest(20 * time.Second)
+				for len(failed) > 0 {
+					<-failed
+				}
+			}
+		}()
+		c.begin(drain("spring"))
+		c.reaches("spring", rollout.Ended, 10*time.Minute)
+	})
+}
+
+// replacing is a rollout that replaces a zone's machines.
+func replacing(name string, c *drainCluster) *rollout.Spec {
+	spec := drain(name, c.in("north")...)
+	spec.Replace, spec.Surge, spec.Observe = true, true, 20
+	return spec
+}
+
+func TestMachinesAreReplacedInWaves(t *testing.T) {
+	t.Parallel()
+	for _, surge := range []bool{true, false} {
+		t.Run(fmt.Sprint("surge ", surge), func(t *testing.T) {
+			t.Parallel()
+			drainScenario(t, 4, drainOptions{room: 60}, func(t *testing.T, c *drainCluster) {
+				c.service("job-1", 6)
+				before := c.in("north")
+				spec := replacing("spring", c)
+				spec.Surge = surge
+				c.begin(spec)
+				c.until(10*time.Minute, "it has begun", func() bool { return c.state("spring").Waves > 0 })
+				c.reaches("spring", rollout.Ended, 15*time.Minute)
+				for _, name := range before {
+					if slices.Contains(c.in("north"), name) {
+						t.Errorf("%s still runs", name)
+					}
+				}
+				if r := c.state("spring"); r.Done != 4 || r.Waves != 2 {
+					t.Errorf("%d machines through in %d waves", r.Done, r.Waves)
+				}
+			})
+		})
+	}
+}
+
+func TestABadReplacementHaltsTheRollout(t *testing.T) {
+	t.Parallel()
+	for _, failure := range []struct {
+		name, why string
+		boots     func(name string) time.Duration
+		after     func(c *drainCluster, name string)
+	}{
+		{name: "it never comes up", why: "0 are up", boots: func(string) time.Duration { return -1 }},
+		{name: "it dies while it is observed", why: "replacement", after: func(c *drainCluster, name string) { c.endMachine(name) }},
+	} {
+		t.Run(failure.name, func(t *testing.T) {
+			t.Parallel()
+			drainScenario(t, 4, drainOptions{room: 60}, func(t *testing.T, c *drainCluster) {
+				c.service("job-1", 6)
+				for i := range 3 {
+					c.accept(with(spec(fmt.Sprint("job-", 10+i), "array", 1), "urgency", "low"))
+				}
+				before := c.in("north")
+				good := c.boots
+				bad := false
+				c.boots = func(name string) time.Duration {
+					if !bad {
+						bad = true
+						if failure.boots != nil {
+							return failure.boots(name)
+						}
+						go func() {
+							c.rest(12 * time.Second)
+							failure.after(c, name)
+						}()
+					}
+					return good(name)
+				}
+				spec := replacing("spring", c)
+				spec.WaveSize, spec.Deadline, spec.Observe = 1, 40, 60
+				c.begin(spec)
+				c.reaches("spring", rollout.Halted, 4*time.Minute)
+				if r := c.state("spring"); !strings.Contains(r.Why, failure.why) {
+					t.Errorf("halted for %q", r.Why)
+				}
+				c.until(time.Minute, "what is not empty is in service again", func() bool { return c.cordoned() == 0 })
+				waves := c.state("spring").Waves
+				c.hold(2*time.Minute, "nothing begins without an operator", func() bool {
+					r := c.state("spring")
+					return r.State == rollout.Halted && r.Waves == waves
+				})
+				c.do("spring", rollout.ResumeIt)
+				c.reaches("spring", rollout.Ended, 20*time.Minute)
+				for _, name := range before {
+					if slices.Contains(c.in("north"), name) {
+						t.Errorf("%s still runs", name)
+					}
+				}
+			})
+		})
+	}
+}
+
+func TestAReplacementThatFailsItsWorkHaltsTheRollout(t *testing.T) {
+	t.Parallel()
+	// What was moved fits only on the replacement, and fails there again and again.
+	drainScenario(t, 1, drainOptions{room: 3}, func(t *testing.T, c *drainCluster) {
+		c.service("job-1", 2, "cores", 4, "ramGb", 16)
+		go func() {
+			for c.ctx.Err() == nil {
+				c.rest(200 * time.Millisecond)
+				if k := c.worn("host-000003"); k != nil {
+					for _, task := range k.Live() {
+						k.End(task, "error")
+					}
+				}
+			}
+		}()
+		spec := replacing("spring", c)
+		spec.Observe = 90
+		c.begin(spec)
+		c.reaches("spring", rollout.Halted, 4*time.Minute)
+		if why := c.state("spring").Why; !strings.Contains(why, "replacement host-000003 of wave 1 failed: tasks keep failing there") {
+			t.Errorf("halted for %q", why)
+		}
+	})
+}
+
+func TestAMovedReplicaKeepsItsPartOfTheLimit(t *testing.T) {
+	t.Parallel()
+	// The team is at its limit and lesser work waits: what a moved replica gives up for a moment
+	// must not go to that, or the replica would stay down and the rollout wait for ever.
+	drainScenario(t, 4, drainOptions{room: 40}, func(t *testing.T, c *drainCluster) {
+		c.service("job-1", 6)
+		for i := range 6 {
+			c.accept(with(spec(fmt.Sprint("job-", 10+i), "array", 1), "urgency", "low"))
+		}
+		c.begin(drain("spring"))
+		c.reaches("spring", rollout.Ended, 6*time.Minute)
+		c.until(time.Minute, "all replicas are up", func() bool { return c.running("job-1") == 6 })
+	})
+}
+
+func TestARolloutWaitsOutACloudThatHasNothing(t *testing.T) {
+	t.Parallel()
+	// With surge nothing is stopped while the cloud is down or has no machine; in the middle of a
+	// wave it halts at its deadline, and goes on when it is resumed.
+	for _, c := range []struct {
+		name  string
+		begin func(c *drainCluster)
+		end   func(c *drainCluster)
+	}{
+		{"down", func(c *drainCluster) { c.cloud.SetDown(true) }, func(c *drainCluster) { c.cloud.SetDown(false) }},
+		{"out of the type", func(c *drainCluster) { c.cloud.SetRoom(0) }, func(c *drainCluster) { c.cloud.SetRoom(40) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			trouble := c
+			drainScenario(t, 3, drainOptions{room: 40}, func(t *testing.T, c *drainCluster) {
+				c.service("job-1", 6)
+				spec := replacing("spring", c)
+				spec.WaveSize = 1
+				c.begin(spec)
+				c.until(2*time.Minute, "the first wave is under way", func() bool { return c.state("spring").Waves == 1 })
+				trouble.begin(c)
+				c.until(5*time.Minute, "it halts", func() bool { return c.state("spring").State == rollout.Halted })
+				stops := c.rule.stopped("job-1")
+				c.hold(time.Minute, "nothing more is stopped", func() bool { return c.rule.stopped("job-1") == stops })
+				trouble.end(c)
+				c.do("spring", rollout.ResumeIt)
+				c.reaches("spring", rollout.Ended, 15*time.Minute)
+			})
+		})
+	}
+}
+
+func TestMachinesThatFailWhileTheyAreDrained(t *testing.T) {
+	t.Parallel()
+	for _, failure := range []struct {
+		name string
+		fail func(c *drainCluster, machine string)
+	}{
+		{"one dies", func(c *drainCluster, machine string) { c.endMachine(machine) }},
+		{"its zone goes dark", func(c *drainCluster, _ string) {
+			c.net.SetRule(func(from, to string, _ *http.Request, _ []byte) fake.Fate {
+				for _, name := range c.in("north") {
+					if strings.HasPrefix(from, string(name)) || strings.HasPrefix(to, string(name)) {
+						return fake.Swallow
+					}
+				}
+				return fake.Deliver
+			})
+			c.rest(40 * time.Second)
+			c.net.SetRule(nil)
+		}},
+		{"a spot notice", func(c *drainCluster, machine string) {
+			c.rule.reclaim(machine)
+			c.worn(machine).SetWarning(20 * time.Second)
+			c.rest(20 * time.Second)
+			c.endMachine(machine)
+		}},
+		{"it hangs", func(c *drainCluster, machine string) {
+			c.worn(machine).SetHung(true)
+			c.rest(30 * time.Second)
+			c.worn(machine).SetHung(false)
+		}},
+		{"the state service is down", func(c *drainCluster, _ string) {
+			c.store.SetDown(true)
+			c.rest(15 * time.Second)
+			c.store.SetDown(false)
+		}},
+		{"all controllers are lost", func(c *drainCluster, _ string) {
+			for _, name := range drainNodes {
+				c.end(name)
+			}
+			c.rest(10 * time.Second)
+			for _, name := range drainNodes {
+				c.startNode(name)
+			}
+		}},
+	} {
+		t.Run(failure.name, func(t *testing.T) {
+			t.Parallel()
+			drainScenario(t, 4, drainOptions{room: 60}, func(t *testing.T, c *drainCluster) {
+				c.service("job-1", 6)
+				c.begin(drain("spring"))
+				draining := func() string {
+					r := c.state("spring")
+					if r.Wave == nil {
+						return ""
+					}
+					set := r.Wave.Machines[rollout.Draining]
+					for name := range set.All() {
+						return string(name)
+					}
+					return ""
+				}
+				c.until(2*time.Minute, "a machine is drained", func() bool { return draining() != "" })
+				failure.fail(c, draining())
+				c.reaches("spring", rollout.Ended, 15*time.Minute)
+				c.until(2*time.Minute, "all replicas are up", func() bool { return c.running("job-1") == 6 })
+				c.until(time.Minute, "no machine stays cordoned", func() bool { return c.cordoned() == 0 })
+			})
+		})
+	}
+}
+
+func TestLateReportsOfADrainedMachineChangeNothing(t *testing.T) {
+	t.Parallel()
+	drainScenario(t, 3, drainOptions{room: 40}, func(t *testing.T, c *drainCluster) {
+		c.service("job-1", 4)
+		machine := string(c.in("north")[0])
+		c.net.SetRule(fake.CopyReports(machine))
+		c.begin(drain("spring", c.in("north")...))
+		c.reaches("spring", rollout.Ended, 8*time.Minute)
+		c.net.SetRule(nil)
+		c.net.Release()
+		c.hold(time.Minute, "all replicas stay up", func() bool { return c.running("job-1") == 4 })
+	})
+}
+
+func TestAJobCancelledInTheMiddleOfAWaveIsGoneInTime(t *testing.T) {
+	t.Parallel()
+	drainScenario(t, 3, drainOptions{room: 40}, func(t *testing.T, c *drainCluster) {
+		c.service("job-1", 4)
+		c.service("job-2", 3)
+		c.begin(drain("spring"))
+		c.until(2*time.Minute, "a permit is stored", func() bool {
+			return strings.Contains(string(c.store.Value("job/job-1")), `"evictions"`) || strings.Contains(string(c.store.Value("job/job-2")), `"evictions"`)
+		})
+		c.call("b", "POST", "/v2/runs/job-1/cancel", nil)
+		c.until(40*time.Second, "its tasks are gone", func() bool { return c.running("job-1") == 0 })
+		c.reaches("spring", rollout.Ended, 8*time.Minute)
+		c.until(time.Minute, "the other service is up", func() bool { return c.running("job-2") == 3 })
+	})
+}
+
+func TestWhatCantBeMovedWaitsAndSaysWhy(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name, features, why string
+		budget              teamBudget
+		replicas            int
+		changes             []any
+		surge, everything   bool
+		room                int
+	}{
+		{name: "a budget of zero", features: `drains { default_budget { replicas_down: 0 } }`, why: "of at most 0", replicas: 4, room: 40},
+		{name: "one replica", why: "last replica of job-1", budget: teamBudget{1, 2}, replicas: 1, everything: true, room: 40},
+		{name: "a zone that is given up", why: "no other place that its job allows", budget: teamBudget{1, 2}, replicas: 2, changes: []any{"spread", true}, room: 40},
+		{name: "no room anywhere", why: "has no room elsewhere", budget: teamBudget{1, 2}, replicas: 4, changes: []any{"cores", 2, "ramGb", 8}, surge: true, everything: true, room: 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			scene := c
+			drainScenario(t, 2, drainOptions{room: scene.room, features: scene.features, budget: map[string]teamBudget{"red": scene.budget}}, func(t *testing.T, c *drainCluster) {
+				c.service("job-1", scene.replicas, scene.changes...)
+				spec := drain("spring")
+				spec.Surge, spec.WaveSize = scene.surge, 4
+				if scene.everything {
+					spec.Select = rollout.Selection{Older: true}
+				}
+				preview, err := c.follower().drains.Plan(c.ctx, spec)
+				if err != nil || len(preview.Waves) == 0 {
+					t.Fatal(preview, err)
+				}
+				c.begin(spec)
+				c.waitsFor(scene.why)
+				c.hold(3*time.Minute, "nothing is stopped", func() bool { return c.rule.stopped("job-1") == 0 && c.running("job-1") == scene.replicas })
+				c.do("spring", rollout.AbortIt)
+				c.reaches("spring", rollout.Ended, time.Minute)
+				c.until(time.Minute, "no machine stays cordoned", func() bool { return c.cordoned() == 0 })
+			})
+		})
+	}
+}
+
+func TestAnAbortInEveryStateLeavesNoMachineCordoned(t *testing.T) {
+	t.Parallel()
+	for name, before := range map[string]func(c *drainCluster){
+		"just started": func(*drainCluster) {},
+		"running":      func(c *drainCluster) { c.rest(15 * time.Second) },
+		"between waves": func(c *drainCluster) {
+			c.until(4*time.Minute, "a wave is through", func() bool { return c.state("spring").Done > 0 })
+		},
+		"paused": func(c *drainCluster) {
+			c.rest(5 * time.Second)
+			c.do("spring", rollout.PauseIt)
+			stops := c.rule.stopped("job-1")
+			c.rest(3 * time.Second)
+			if n := c.rule.stopped("job-1"); n > stops+1 {
+				c.t.Errorf("%d more replicas stopped while paused", n-stops)
+			}
+		},
+		"halted": func(c *drainCluster) {
+			c.cloud.SetRoom(0)
+			c.reaches("spring", rollout.Halted, 5*time.Minute)
+		},
+		"aborting": func(c *drainCluster) { c.do("spring", rollout.AbortIt) },
+		"the leader has just ended": func(c *drainCluster) {
+			c.rest(8 * time.Second)
+			c.end(c.leader().name)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			drainScenario(t, 3, drainOptions{room: 40}, func(t *testing.T, c *drainCluster) {
+				c.service("job-1", 6)
+				spec := replacing("spring", c)
+				spec.WaveSize, spec.Surge, spec.Deadline, spec.Pause = 1, name == "halted", 30, 30
+				c.begin(spec)
+				before(c)
+				c.do("spring", rollout.AbortIt)
+				c.reaches("spring", rollout.Ended, 3*time.Minute)
+				c.until(time.Minute, "no machine stays cordoned", func() bool { return c.cordoned() == 0 })
+				c.until(2*time.Minute, "all replicas are up", func() bool { return c.running("job-1") == 6 })
+				c.do("spring", rollout.AbortIt)
+				if _, err := c.follower().drains.Do(c.ctx, "spring", rollout.ResumeIt); !errors.Is(err, rollout.ErrBadMove) {
+					t.Errorf("one that ended is resumed: %v", err)
+				}
+			})
+		})
+	}
+}
+
+func TestLowWorkIsMovedAndAccountedFor(t *testing.T) {
+	t.Parallel()
+	// Low arrays are interrupted within the budget and go on elsewhere; work that saves is saved;
+	// normal work that can't save runs to its end, or is stopped after the deadline if the
+	// operator chose so; a gang is moved whole.
+	drainScenario(t, 4, drainOptions{room: 60}, func(t *testing.T, c *drainCluster) {
+		c.accept(with(spec("job-1", "array", 4), "urgency", "low"))
+		c.accept(with(with(spec("job-2", "array", 2), "bookmarkS", 10), "stashS", 1))
+		c.accept(with(with(spec("job-3", "gang", 2), "bookmarkS", 10), "stashS", 1))
+		c.until(time.Minute, "all run", func() bool { return c.running("job-1") == 4 && c.running("job-2") == 2 && c.running("job-3") == 2 })
+		c.rest(8 * time.Second)
+		spec := drain("spring")
+		spec.AtDeadline = rollout.Stop
+		c.begin(spec)
+		c.reaches("spring", rollout.Ended, 10*time.Minute)
+		c.until(time.Minute, "all run elsewhere", func() bool { return c.running("job-1") == 4 && c.running("job-2") == 2 && c.running("job-3") == 2 })
+		go c.endSome("job-", rand.New(rand.NewPCG(1, 1)))
+		for _, id := range []string{"job-1", "job-2", "job-3"} {
+			c.until(2*time.Minute, id+" is done", func() bool { return c.status("b", id) == "done" })
+		}
+		moved := 0
+		for _, id := range []string{"job-1", "job-2", "job-3"} {
+			moved += strings.Count(string(c.store.Value("end/"+id)), "by rollout spring, wave")
+		}
+		if moved == 0 {
+			t.Error("no trail tells of a move")
+		}
+	})
+}
+
+func TestWorkThatCantSaveRunsToItsEndUnlessItsDeadlineIsOver(t *testing.T) {
+	t.Parallel()
+	for _, choice := range []rollout.AtDeadline{rollout.Wait, rollout.Stop} {
+		t.Run(string(choice), func(t *testing.T) {
+			t.Parallel()
+			drainScenario(t, 1, drainOptions{room: 10}, func(t *testing.T, c *drainCluster) {
+				c.accept(with(spec("job-1", "array", 2), "yard", "north"))
+				c.until(time.Minute, "it runs", func() bool { return c.running("job-1") == 2 })
+				spec := drain("spring", c.in("north")...)
+				spec.AtDeadline, spec.Deadline = choice, 30
+				c.begin(spec)
+				c.waitsFor("can't save and runs to its end")
+				c.hold(25*time.Second, "it runs on", func() bool { return c.rule.stopped("job-1") == 0 })
+				if choice == rollout.Stop {
+					c.reaches("spring", rollout.Ended, 3*time.Minute)
+					return
+				}
+				c.hold(time.Minute, "it runs on", func() bool { return c.rule.stopped("job-1") == 0 })
+				for _, task := range []string{"job-1/0", "job-1/1"} {
+					c.worn(c.on(task)[0]).End(task, "done")
+				}
+				c.reaches("spring", rollout.Ended, 3*time.Minute)
+			})
+		})
+	}
+}
--- a/internal/claim/drain_view.go
+++ b/internal/claim/drain_view.go
@@ -35,7 +35,11 @@
 	defer b.mu.Unlock()
 	m := b.roster.Machines[name]
 	if m == nil {
-		return rollout.Machine{Gone: b.returned[name] || b.surelyUnlisted()}
+		gone := rollout.Machine{Gone: b.returned[name] || b.surelyUnlisted()}
+		if b.disruption != nil {
+			gone.Failed = b.disruption.lost[name]
+		}
+		return gone
 	}
 	seen := rollout.Machine{Kind: rollout.Kind{Type: m.Type, Zone: m.Zone, Spot: m.Spot}, Known: true, Up: m.Heard && !m.Doubtful(),
 		Failed: b.whyFailed(m, v.now), Reclaimed: !m.TakenAt.IsZero(), Tasks: len(b.placesOn(name)), Rented: m.HeldSince}
--- a/internal/claim/evictions.go
+++ b/internal/claim/evictions.go
@@ -10,6 +10,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/budget"
 	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/placement"
 	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/rollout"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
@@ -32,6 +33,8 @@
 	// room elsewhere.
 	waits  map[ids.Machine][]string
 	noRoom map[ids.Machine]bool
+	// lost are replacements that were given up while they were observed, and why.
+	lost   map[ids.Machine]string
 	looked time.Time
 	looks  int // at the teams' budgets, so far
 }
@@ -54,7 +57,8 @@
 	}
 	return &disruption{budgets: set.Budgets(), ready: set.Readiness(), answers: map[ids.Hire][]ids.Machine{},
 		pending: map[*Place]*evictionStep{}, evicted: map[*Job]bool{},
-		waits: map[ids.Machine][]string{}, noRoom: map[ids.Machine]bool{}}
+		waits: map[ids.Machine][]string{}, noRoom: map[ids.Machine]bool{},
+		lost: map[ids.Machine]string{}}
 }
 
 // awaitsOrders tells that drains are on and the stored rollouts are not known yet: what is placed
@@ -243,6 +247,29 @@
 	}
 }
 
+// keptForMoved is what a job must leave of its team's limit to tasks that rollouts have stopped and
+// that are not placed again: else lesser work that waits would take it, and a replica that was only
+// to be moved would stay down.
+func (b *ClusterState) keptForMoved(j *Job) (kept placement.Room) {
+	d := b.disruption
+	if d == nil {
+		return kept
+	}
+	for moved := range d.evicted {
+		if moved == j || moved.Rec.Spec.Team != j.Rec.Spec.Team || !moved.claimable() || j.priority() > moved.priority() {
+			continue
+		}
+		for i := range moved.Rec.Evictions {
+			moved.Rec.Evictions[i].Tasks.Each(func(task int) {
+				if moved.places[task] == nil && !moved.Rec.Finished.Has(task) {
+					kept = kept.Plus(moved.Rec.Spec.Need)
+				}
+			})
+		}
+	}
+	return kept
+}
+
 // stopEvicted stops the tasks whose permits are stored, if the budgets still allow it.
 func (b *ClusterState) stopEvicted(meter *budget.Meter, now time.Time) {
 	d := b.disruption
--- a/internal/claim/explain.go
+++ b/internal/claim/explain.go
@@ -68,11 +68,14 @@
 func (b *ClusterState) Summary() map[string]any {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	heard, draining := 0, 0
+	heard, draining, cordoned := 0, 0, 0
 	for _, m := range b.roster.Machines {
 		if m.Heard {
 			heard++
 		}
+		if m.Cordoned {
+			cordoned++
+		}
 		if m.Draining != "" || !m.TakenAt.IsZero() {
 			draining++
 		}
@@ -86,7 +89,7 @@
 		}
 	}
 	return map[string]any{"generation": b.gen, "jobs": len(b.jobs), "placed": places, "machines": len(b.roster.Machines),
-		"heard": heard, "draining": draining, "waiting": waiting,
+		"heard": heard, "draining": draining, "cordoned": cordoned, "waiting": waiting,
 		"spent": map[string]any{"boot": cents(b.spent.boot), "idle": cents(b.spent.idle), "free": cents(b.spent.free), "fetch": cents(b.spent.fetch),
 			"wait": cents(b.spent.wait), "run": cents(b.spent.run), "againCoreSeconds": maps.Clone(b.spent.again)}}
 }
--- a/internal/claim/lapses.go
+++ b/internal/claim/lapses.go
@@ -66,6 +66,9 @@
 	why := "its machine was returned to the cloud"
 	if m := b.roster.Machines[name]; m != nil && m.ReturnWhy != "" {
 		why += ": " + m.ReturnWhy
+		if b.keptByRollout(name) {
+			b.disruption.lost[name] = m.ReturnWhy
+		}
 	}
 	for p := range b.placesOn(name) {
 		b.vanish(p, why)
--- a/internal/claim/team_limits.go
+++ b/internal/claim/team_limits.go
@@ -16,7 +16,7 @@
 // mayHave is the same less what is owed to a job that goes first.
 func (b *ClusterState) mayHave(j *Job, want int, now time.Time) int {
 	s := &j.Rec.Spec
-	return b.quota.Left(s.Team).Minus(b.withheld(j, now)).Count(s.Need, want)
+	return b.quota.Left(s.Team).Minus(b.withheld(j, now)).Minus(b.keptForMoved(j)).Count(s.Need, want)
 }
 
 // teamLimits are the limits of the settings by team.
--- a/internal/claim/test_cluster_test.go
+++ b/internal/claim/test_cluster_test.go
@@ -82,6 +82,7 @@
 	listed  bool    // the leader is told the machines by the cloud's list
 	next    string  // the limits to come of nodes started from now on, as settings
 	valueKB float64 // the limit of values, if not that of the settings
+	teams   []config.Team
 }
 
 type node struct {
@@ -128,6 +129,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	set.Params.Teams = append(set.Params.Teams, w.teams...)
 	if w.valueKB > 0 {
 		set.Params.State.ValueKB, set.Params.State.NowKB = w.valueKB, w.valueKB
 	}
--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -23,6 +23,8 @@
 	next    int
 	Room    int // machines left to rent
 	Down    bool
+	// onDelete is told of each machine before its deletion is confirmed; nil: nobody is.
+	onDelete func(name string)
 }
 
 // NewCloud makes a cloud with one small machine type and room for n machines.
@@ -49,6 +51,34 @@
 	c.Down = d
 }
 
+// Host is a machine that the cloud has rented.
+type Host struct{ Name, Zone string }
+
+// Hosts lists the machines rented and not deleted, in order.
+func (c *Cloud) Hosts() (hosts []Host) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.hosts {
+		hosts = append(hosts, Host{h["uid"].(string), h["yard"].(string)})
+	}
+	return hosts
+}
+
+// NotifyDeletions has f told of each machine that is deleted from now on, before the deletion is
+// confirmed and under the cloud's lock.
+func (c *Cloud) NotifyDeletions(f func(name string)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onDelete = f
+}
+
+// SetRoom sets how many more machines it rents.
+func (c *Cloud) SetRoom(machines int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Room = machines
+}
+
 // Gone lists the machines deleted.
 func (c *Cloud) Gone() []string {
 	c.mu.Lock()
@@ -122,6 +152,9 @@
 		json.NewDecoder(r.Body).Decode(&in)
 		for _, h := range in.Hosts {
 			c.Deleted = append(c.Deleted, h)
+			if c.onDelete != nil {
+				c.onDelete(h)
+			}
 			for i := range c.hosts {
 				if c.hosts[i]["uid"] == h {
 					c.hosts = append(c.hosts[:i], c.hosts[i+1:]...)
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -293,6 +293,18 @@
 	return false
 }
 
+// TakeAway ends the machine with everything on it, also while it hangs.
+func (w *Worker) TakeAway() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silent = true
+	for _, p := range w.pieces {
+		if p.Status != "ended" {
+			w.end(p, "taken")
+		}
+	}
+}
+
 // SetStatus sets what a task is reported as.
 func (w *Worker) SetStatus(task, status string) {
 	w.mu.Lock()
@@ -305,6 +317,15 @@
 	}
 }
 
+// SetWarning has the cloud announce that it takes the machine away.
+func (w *Worker) SetWarning(in time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	seconds := in.Seconds()
+	w.warning = &seconds
+	w.change()
+}
+
 // SetSilent stops or resumes the heartbeats.
 func (w *Worker) SetSilent(s bool) {
 	w.mu.Lock()
