--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -139,6 +139,13 @@
 	return s.epoch
 }
 
+// CountTooLarge counts the transactions that were over the limits.
+func (s *Store) CountTooLarge() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.TooLarge
+}
+
 // Count counts the keys below a prefix.
 func (s *Store) Count(prefix string) int {
 	s.mu.Lock()
