Replicas moved by the leader itself keep to the budgets as well; each stop has a stored permit

Cause: a new check of the scenarios (each stop by a drain has its permit in the store at that moment) found that the leader's own moves of replicas, off machines that it returns, asked nobody. Change: with drains on they take the same way: permit, stored eviction, stop. An eviction replaces one of an earlier attempt of the same task instead of counting twice. Without drains nothing changes.

--- a/internal/claim/drain.go
+++ b/internal/claim/drain.go
@@ -49,6 +49,9 @@
 	}
 }
 
+// movedRoomFor is how long room is kept for a replica that is moved off a machine to be returned.
+const movedRoomFor = 5 * time.Second
+
 // moveReplica takes one replica at a time off a machine that is only kept by
 // it, when another machine has room and the image.
 func (b *ClusterState) moveReplica(m *worker.Machine, now time.Time) {
@@ -73,13 +76,35 @@
 				best, bestScore = h, s
 			}
 		}
-		if best != nil {
-			b.moved = now
-			b.reserved[best.name] = reservation{job: p.Job.Rec.Spec.ID, need: ask.Need, made: now, until: now.Add(5 * time.Second)}
-			b.stop(p, p.leewayWanted(), "moved off "+string(m.Name)+", which is to be returned")
+		if best == nil {
+			continue
+		}
+		b.moved = now
+		if !b.mayMove(p, now) {
 			return
 		}
+		b.reserved[best.name] = reservation{job: p.Job.Rec.Spec.ID, need: ask.Need, made: now, until: now.Add(movedRoomFor)}
+		if b.disruption == nil {
+			b.stop(p, p.leewayWanted(), movedOff(m.Name))
+		} else {
+			b.recordEvictions([]evictionUnit{{p.Job, []*Place{p}}}, &evictionStep{rollout: consolidation, stored: map[*Job]uint64{}})
+		}
+		return
+	}
+}
+
+// movedOff is why a replica is stopped that is moved to have its machine returned.
+func movedOff(machine ids.Machine) string {
+	return "moved off " + string(machine) + ", which is to be returned"
+}
+
+// mayMove tells whether a replica may be moved that nobody has to move: where operators have set
+// budgets, only within these.
+func (b *ClusterState) mayMove(p *Place, now time.Time) bool {
+	if b.disruption == nil {
+		return true
 	}
+	return !p.evicted && len(b.disruptionMeter(now).Permit(b.evictionRequest(p.Job, p, now))) == 0
 }
 
 // finishes guesses whether a task completes within d.
--- a/internal/claim/drain_cluster_test.go
+++ b/internal/claim/drain_cluster_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -79,6 +80,7 @@
 		w.teams = options.teams
 		w.rules.set = w.settings("a")
 		c.rule = newDisruptionRule(w.rules, func(rule, what string) { t.Errorf("rule broken: %s: %s", rule, what) }, budget)
+		c.rule.stored = c.evictionStored
 		w.net.Listen("cloud:1", c.cloud)
 		for _, zone := range []string{"north", "south"} {
 			c.rent("first-"+zone, zone, machines)
@@ -96,6 +98,21 @@
 	})
 }
 
+// evictionStored tells whether the eviction of a task's attempt is in the store.
+func (c *drainCluster) evictionStored(task string, attempt uint64) bool {
+	job, number, _ := strings.Cut(task, "/")
+	index, err := strconv.Atoi(number)
+	if err != nil {
+		return false
+	}
+	stored, err := record.Decode(c.store.Value("job/" + job))
+	if err != nil {
+		return false
+	}
+	evicted, is := stored.EvictedAttempt(index)
+	return is && evicted == ids.Attempt(attempt)
+}
+
 // rent has the cloud rent machines past the controllers.
 func (c *drainCluster) rent(hire, zone string, count int) {
 	body := fmt.Sprintf(`{"hire":%q,"build":"small","yard":%q,"loaners":false,"count":%d}`, hire, zone, count)
--- a/internal/claim/evictions.go
+++ b/internal/claim/evictions.go
@@ -47,6 +47,10 @@
 	stored  map[*Job]uint64 // by job, the version that holds its permits
 }
 
+// consolidation stands as the rollout of replicas that the leader moves by itself, off machines
+// that are to be returned. No rollout has that name.
+const consolidation rollout.Name = "~consolidation"
+
 // evictEvery spaces the looks at what may be stopped.
 const evictEvery = 200 * time.Millisecond
 
@@ -151,8 +155,11 @@
 	meter := b.disruptionMeter(now)
 	b.stopEvicted(meter, now)
 	for _, name := range slices.Sorted(maps.Keys(d.orders.Machines)) {
-		if order := d.orders.Machines[name]; order.Drain {
+		switch order := d.orders.Machines[name]; {
+		case order.Drain:
 			b.emptyMachine(name, order, meter, now)
+		case order.Return:
+			b.waitsFor(name, "the cloud has not confirmed its return yet")
 		}
 	}
 }
@@ -237,7 +244,7 @@
 			delete(d.pending, p)
 			continue
 		}
-		if d.active(step.rollout) || m == nil || !m.Heard || m.Token < b.first || !p.seen {
+		if b.carriesOn(step, p) || m == nil || !m.Heard || m.Token < b.first || !p.seen {
 			continue
 		}
 		p.evicted = false
@@ -278,7 +285,7 @@
 	})
 	for _, p := range places {
 		step := d.pending[p]
-		if !step.isStored() || !d.active(step.rollout) || !p.seen {
+		if !step.isStored() || !b.carriesOn(step, p) || !p.seen {
 			continue
 		}
 		if denial := meter.Confirm(b.evictionRequest(p.Job, p, now)); denial != nil {
@@ -286,8 +293,25 @@
 			continue
 		}
 		delete(d.pending, p)
-		b.stop(p, p.leewayWanted(), fmt.Sprintf("moved from %s by rollout %s, wave %d", p.Machine, step.rollout, step.wave))
+		b.stop(p, p.leewayWanted(), step.reason(p))
+	}
+}
+
+// carriesOn tells whether what an eviction was decided for is still wanted.
+func (b *ClusterState) carriesOn(step *evictionStep, p *Place) bool {
+	if step.rollout == consolidation {
+		m := b.roster.Machines[p.Machine]
+		return m != nil && m.Going
+	}
+	return b.disruption.active(step.rollout)
+}
+
+// reason is what the job's trail says of a stop.
+func (s *evictionStep) reason(p *Place) string {
+	if s.rollout == consolidation {
+		return movedOff(p.Machine)
 	}
+	return fmt.Sprintf("moved from %s by rollout %s, wave %d", p.Machine, s.rollout, s.wave)
 }
 
 // isStored tells whether the permits of the whole step are in the store.
--- a/internal/record/eviction.go
+++ b/internal/record/eviction.go
@@ -36,8 +36,9 @@
 	return size <= limit/evictionShare
 }
 
-// Evict adds a task to the job's evictions.
+// Evict adds a task to the job's evictions, in place of one of an earlier attempt.
 func (r *Record) Evict(task int, attempt ids.Attempt, rollout string, wave int) {
+	r.KeepEvictions(func(other int, _ ids.Attempt) bool { return other != task })
 	for i := range r.Evictions {
 		if e := &r.Evictions[i]; e.Rollout == rollout && e.Wave == wave && e.Attempt == attempt {
 			e.Tasks.Add(task)
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -56,7 +56,7 @@
 	s.Wave = r.Wave.Number
 	for _, state := range []MachineState{Cordoned, Draining, Empty, Returned, Replaced, Verified} {
 		for name := range r.in(state).All() {
-			s.Machines = append(s.Machines, MachineStatus{Name: name, State: state, Waits: waits[name]})
+			s.Machines = append(s.Machines, MachineStatus{Name: name, State: state, Waits: append(r.waitsItself(state), waits[name]...)})
 		}
 	}
 	for i := range r.Wave.Hires {
@@ -66,6 +66,21 @@
 	return s
 }
 
+// waitsItself is what a machine waits for because of the rollout's own state.
+func (r *Record) waitsItself(state MachineState) []string {
+	switch {
+	case r.State == Paused && (state == Cordoned || state == Draining):
+		return []string{"the rollout is paused"}
+	case state == Cordoned && r.Spec.Replace && r.Spec.Surge:
+		return []string{"its replacement is not up yet"}
+	case state == Returned && r.Spec.Replace:
+		return []string{"its replacement is not up yet"}
+	case state == Replaced:
+		return []string{"its replacement is observed"}
+	}
+	return nil
+}
+
 // Print writes a status, a line for each machine of the present wave.
 func (s *Status) Print(out io.Writer) {
 	fmt.Fprintf(out, "%s: ", s.Name)
