--- a/cmd/pebbletrail/rehearse.go
+++ b/cmd/pebbletrail/rehearse.go
@@ -16,7 +16,7 @@
 
 func rehearseCommand() *cobra.Command {
 	c := &cobra.Command{Use: "rehearse", Short: "Rehearses failures on stand-ins, on this machine alone", Args: cobra.NoArgs}
-	c.AddCommand(rehearseQuotaCommand())
+	c.AddCommand(rehearseQuotaCommand(), rehearseDrainCommand())
 	return c
 }
 
@@ -74,3 +74,37 @@
 	}
 	return err
 }
+
+func rehearseDrainCommand() *cobra.Command {
+	options := rehearsal.DrainOptions{}
+	c := &cobra.Command{
+		Use: "drain", Short: "Replaces all machines in waves while controllers, machines and replacements fail, and checks every budget", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := defaultProgram(&options.Program); err != nil {
+				return err
+			}
+			if err := os.MkdirAll(options.Folder, 0o700); err != nil {
+				return err
+			}
+			found, err := rehearsal.RunDrain(options)
+			if err != nil {
+				return err
+			}
+			found.Print(cmd.OutOrStdout())
+			fmt.Fprintf(cmd.OutOrStdout(), "record and report: %s\n", options.Folder)
+			if found.Failed() {
+				return errRehearsalFailed
+			}
+			return nil
+		},
+	}
+	flags := c.Flags()
+	flags.StringVar(&options.Folder, "out", "target/rehearsal", "folder for the record, the report and the controllers' logs")
+	flags.StringVar(&options.Program, "program", "", "the controllers' program; this one if empty")
+	flags.Uint64Var(&options.Seed, "seed", 1, "decides jobs and failures")
+	flags.IntVar(&options.Controllers, "controllers", 5, "controller processes")
+	flags.IntVar(&options.Machines, "machines", 50, "stand-in machines, all of which are replaced")
+	flags.IntVar(&options.Jobs, "jobs", 300, "low jobs beside the services")
+	flags.DurationVar(&options.Longest, "longest", 10*time.Minute, "the run ends by then, whatever happens")
+	return c
+}
--- a/internal/claim/emptying.go
+++ b/internal/claim/emptying.go
@@ -9,6 +9,7 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/budget"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/measure"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
 	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/rollout"
@@ -49,6 +50,7 @@
 		requests[i] = b.evictionRequest(u.job, u.places[0], now)
 	}
 	if denials := meter.Permit(requests...); len(denials) > 0 {
+		measure.Process.Count(rollout.PermitsRefused, 1)
 		for _, denial := range denials {
 			b.waitsFor(name, denial.String())
 		}
@@ -70,6 +72,7 @@
 // recordEvictions notes permits on the jobs' records; the stops wait until all are stored.
 func (b *ClusterState) recordEvictions(units []evictionUnit, step *evictionStep) {
 	d := b.disruption
+	measure.Process.Count(rollout.PermitsGiven, len(units))
 	for _, u := range units {
 		j := u.job
 		for _, p := range u.places {
--- a/internal/rehearsal/cloud.go
+++ b/internal/rehearsal/cloud.go
@@ -31,6 +31,8 @@
 	next  int
 	hosts []*host
 	hires map[string][]string
+	// dud has the next machine that is hired never come up.
+	dud bool
 	// boot starts a machine's worker and returns its address; stop ends it with all on it.
 	boot func(name, zone string) (endpoint string, err error)
 	stop func(name string)
@@ -108,15 +110,60 @@
 func (c *cloud) start(zone string) (name string, ok bool) {
 	c.next++
 	name = fmt.Sprintf("host-%06d", c.next)
-	endpoint, err := c.boot(name, zone)
-	if err != nil {
-		return "", false
+	status, endpoint := "running", ""
+	if c.dud {
+		c.dud, status = false, "booting"
+	} else {
+		var err error
+		if endpoint, err = c.boot(name, zone); err != nil {
+			return "", false
+		}
 	}
 	c.room--
-	c.hosts = append(c.hosts, &host{UID: name, Endpoint: endpoint, Build: "standard", Yard: zone, Status: "running", since: time.Now()})
+	c.hosts = append(c.hosts, &host{UID: name, Endpoint: endpoint, Build: "standard", Yard: zone, Status: status, since: time.Now()})
 	return name, true
 }
 
+// rent rents machines past the controllers.
+func (c *cloud) rent(zone string, count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for range count {
+		c.start(zone) // what does not start is missed soon enough
+	}
+}
+
+// spoil has the next machine that is hired never come up.
+func (c *cloud) spoil() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dud = true
+}
+
+// fail has a machine stop by itself; the list tells so.
+func (c *cloud) fail(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stop(name)
+	for _, h := range c.hosts {
+		if h.UID == name {
+			h.Status = "failed"
+		}
+	}
+}
+
+// names lists the machines that run, in order.
+func (c *cloud) names() (names []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.hosts {
+		if h.Status == "running" {
+			names = append(names, h.UID)
+		}
+	}
+	return names
+}
+
 // remove deletes machines; unknown names are passed over.
 func (c *cloud) remove(w http.ResponseWriter, r *http.Request) {
 	var in struct {
--- a/internal/rehearsal/quota.go
+++ b/internal/rehearsal/quota.go
@@ -76,7 +76,12 @@
 // record and a report, also of a run that fails midway.
 func RunQuota(options QuotaOptions) (*Findings, error) {
 	teams := quotaTeams()
-	cluster, err := NewCluster(options.Folder, options.Program, teams, options.Controllers, options.Machines, options.Shards)
+	features := ""
+	if options.Shards > 1 { // earlier versions do not know features
+		features = fmt.Sprintf("shards: %d\n", options.Shards)
+	}
+	cluster, err := NewCluster(ClusterOptions{Folder: options.Folder, Program: options.Program, Teams: teams, Controllers: options.Controllers,
+		Machines: options.Machines, Features: features})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/rehearsal/record.go
+++ b/internal/rehearsal/record.go
@@ -25,6 +25,12 @@
 	Disturbed   Kind = "disturbed" // a failure was caused, or ended
 	// Transferred tells that a team's ledger was changed; Why is how its limit is split then.
 	Transferred Kind = "transferred"
+	// RolloutStored tells what a rollout became, Evicted that a task's permit was stored,
+	// Commanded that a controller took a command, Halt why a rollout halted.
+	RolloutStored Kind = "rollout"
+	Evicted       Kind = "evicted"
+	Commanded     Kind = "commanded"
+	Halt          Kind = "halted"
 )
 
 // Event is one entry of a run's record.
@@ -39,6 +45,8 @@
 	// Cores and Accelerators are what the task takes.
 	Cores        float64 `json:"cores,omitempty"`
 	Accelerators float64 `json:"accelerators,omitempty"`
+	// Machines are a rollout's machines by state.
+	Machines map[string]int `json:"machines,omitempty"`
 }
 
 // WriteRecord stores events compressed, one JSON object a line.
--- a/internal/rehearsal/users.go
+++ b/internal/rehearsal/users.go
@@ -16,13 +16,14 @@
 type Job struct {
 	ID       string
 	Team     string
-	Shape    string // "array" or "gang"
+	Shape    string // "array", "gang" or "standing"
 	Priority string
 	Tasks    int
 	Cores    float64
 	// Accelerators of each task.
 	Accelerators float64
-	Runs         time.Duration
+	// Runs is how long each task takes; 0: until it is stopped.
+	Runs time.Duration
 }
 
 // body is the submission as the protocol wants it.
--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -127,6 +127,8 @@
 	store   *fake.Store
 	fleet   *fleet
 	service *Service
+	// thinks is how long a plan takes.
+	thinks time.Duration
 }
 
 // The limits of a small state service.
@@ -165,6 +167,7 @@
 }
 
 func (s *stage) PlanDrain(_ context.Context, spec *Spec) (*Preview, error) {
+	time.Sleep(s.thinks)
 	return MakePreview(spec, s.fleet, time.Now())
 }
 func (s *stage) DrainWaits(context.Context) (map[ids.Machine][]string, error) { return nil, nil }
@@ -305,6 +308,25 @@
 	})
 }
 
+func TestOfTwoStartsAtTheSameMomentOneIsTaken(t *testing.T) {
+	// Both have read that no other rollout has the machines before either is stored.
+	play(t, 4, func(s *stage) {
+		s.thinks = time.Second
+		outcomes := make(chan error, 2)
+		for _, name := range []Name{"first", "second"} {
+			service := s.controller(string(name))
+			go func() {
+				_, err := service.Start(s.ctx, wholeFleet(name))
+				outcomes <- err
+			}()
+		}
+		a, b := <-outcomes, <-outcomes
+		if (a == nil) == (b == nil) || !errors.Is(errors.Join(a, b), ErrOverlap) {
+			t.Errorf("%v and %v", a, b)
+		}
+	})
+}
+
 func TestALostAnswerStartsNothingTwice(t *testing.T) {
 	play(t, 6, func(s *stage) {
 		lost := 0
--- a/internal/rollout/orders.go
+++ b/internal/rollout/orders.go
@@ -38,6 +38,12 @@
 	Keep map[ids.Machine]bool
 }
 
+// What the leader counts, for operators and rehearsals.
+const (
+	PermitsGiven   = "permits given"
+	PermitsRefused = "permits refused"
+)
+
 // NewOrders makes empty orders.
 func NewOrders() *Orders {
 	return &Orders{Machines: map[ids.Machine]Order{}, Keep: map[ids.Machine]bool{}, ClosedZones: map[string]Name{}}
--- a/internal/rollout/runner.go
+++ b/internal/rollout/runner.go
@@ -139,7 +139,7 @@
 	for part, set := range change.Left {
 		run.left[part] = set
 	}
-	r.tell(run.record.Spec.Name, run.record.summary())
+	r.tell(run.record.Spec.Name, run.record.Summary())
 	return true
 }
 
@@ -202,8 +202,8 @@
 	}
 }
 
-// summary is where a rollout stands, in a line.
-func (r *Record) summary() string {
+// Summary is where a rollout stands, in a line.
+func (r *Record) Summary() string {
 	text := fmt.Sprintf("%s, %d of %d machines through", r.State, r.Done, r.Total)
 	if r.Wave != nil {
 		text += fmt.Sprintf(", wave %d", r.Wave.Number)
