--- a/internal/claim/drain_cluster_test.go
+++ b/internal/claim/drain_cluster_test.go
@@ -49,11 +49,11 @@
 	// boots tells how long a machine takes to come up; negative: it never does.
 	boots func(name string) time.Duration
 
-	hookMu  sync.Mutex
-	onEvent func(e fake.Event)
-	up      map[string]*drainNode
-	workers map[string]context.CancelFunc // of the machines that run
-	known   map[string]bool               // machines of the cloud seen so far
+	hookMu   sync.Mutex
+	onEvent  func(e fake.Event)
+	up       map[string]*drainNode
+	machines map[string]context.CancelFunc // that run
+	known    map[string]bool               // machines of the cloud seen so far
 }
 
 // drainOptions vary a scenario.
@@ -69,7 +69,7 @@
 	scenario(t, func(t *testing.T, w *testCluster) {
 		c := &drainCluster{testCluster: w, cloud: fake.NewCloud(options.room), features: options.features,
 			boots: func(string) time.Duration { return 2 * time.Second },
-			up:    map[string]*drainNode{}, workers: map[string]context.CancelFunc{}, known: map[string]bool{}}
+			up:    map[string]*drainNode{}, machines: map[string]context.CancelFunc{}, known: map[string]bool{}}
 		if c.features == "" {
 			c.features = drainFeatures
 		}
@@ -171,8 +171,8 @@
 		cancel()
 		return
 	}
-	c.testCluster.workers = append(c.testCluster.workers, k)
-	c.workers[name] = cancel
+	c.workers = append(c.workers, k)
+	c.machines[name] = cancel
 	go k.Run(ctx)
 }
 
@@ -188,8 +188,8 @@
 // endMachine takes a machine away with everything on it.
 func (c *drainCluster) endMachine(name string) {
 	c.mu.Lock()
-	cancel := c.workers[name]
-	delete(c.workers, name)
+	cancel := c.machines[name]
+	delete(c.machines, name)
 	c.mu.Unlock()
 	if cancel == nil {
 		return
@@ -357,10 +357,7 @@
 
 // running counts the tasks of a job that are on machines.
 func (c *drainCluster) running(id string) (n int) {
-	c.mu.Lock()
-	workers := slices.Clone(c.testCluster.workers)
-	c.mu.Unlock()
-	for _, k := range workers {
+	for _, k := range c.listWorkers() {
 		for _, task := range k.Live() {
 			if strings.HasPrefix(task, id+"/") {
 				n++
@@ -450,8 +447,8 @@
 func (c *drainCluster) in(zone string) (names []ids.Machine) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, k := range c.testCluster.workers {
-		if _, runs := c.workers[k.Name]; runs && k.Zone == zone {
+	for _, k := range c.workers {
+		if _, runs := c.machines[k.Name]; runs && k.Zone == zone {
 			names = append(names, ids.Machine(k.Name))
 		}
 	}
@@ -468,59 +465,6 @@
 	return leader.pool.Cluster().Summary()["cordoned"].(int)
 }
 
-// never samples what holds in every scenario. Machines come and go here, so the list of workers
-// is copied first.
-func (c *drainCluster) never() {
-	c.t.Helper()
-	c.rules.Overdue()
-	c.mu.Lock()
-	workers := slices.Clone(c.testCluster.workers)
-	c.mu.Unlock()
-	at := map[string]string{}
-	for _, k := range workers {
-		for _, task := range k.Live() {
-			if at[task] != "" {
-				c.t.Fatalf("%s runs on %s and on %s", task, at[task], k.Name)
-			}
-			at[task] = k.Name
-		}
-	}
-}
-
-// until waits for a condition, at most d.
-func (c *drainCluster) until(d time.Duration, what string, f func() bool) {
-	c.t.Helper()
-	for end := time.Now().Add(d); !f(); {
-		if time.Now().After(end) {
-			var waits any
-			if leader := c.leader(); leader != nil {
-				waits = leader.pool.Cluster().DrainWaits()
-			}
-			c.t.Fatalf("not within %v: %s; waits: %v; store: %s", d, what, waits, c.store)
-		}
-		time.Sleep(100 * time.Millisecond)
-		c.never()
-	}
-}
-
-// hold watches that a condition stays true for d.
-func (c *drainCluster) hold(d time.Duration, what string, f func() bool) {
-	c.t.Helper()
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		if !f() {
-			c.t.Fatalf("no longer true: %s", what)
-		}
-		c.never()
-	}
-}
-
-// worn is a machine's worker.
-func (c *drainCluster) worn(name string) *fake.Worker {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.testCluster.worn(name)
-}
-
 // endSome lets tasks of a job end by themselves now and then, until the scenario ends.
 func (c *drainCluster) endSome(job string, rng *rand.Rand) {
 	for c.ctx.Err() == nil {
@@ -529,10 +473,7 @@
 		case <-c.ctx.Done():
 			return
 		}
-		c.mu.Lock()
-		workers := slices.Clone(c.testCluster.workers)
-		c.mu.Unlock()
-		for _, k := range workers {
+		for _, k := range c.listWorkers() {
 			for _, task := range k.Live() {
 				if strings.HasPrefix(task, job) && rng.IntN(8) == 0 {
 					k.End(task, "done")
--- a/internal/claim/test_cluster_test.go
+++ b/internal/claim/test_cluster_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -312,9 +313,16 @@
 	return s
 }
 
+// listWorkers are the workers that there are by now.
+func (w *testCluster) listWorkers() []*fake.Worker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.workers)
+}
+
 // on lists where a task is, by worker name.
 func (w *testCluster) on(task string) (at []string) {
-	for _, k := range w.workers {
+	for _, k := range w.listWorkers() {
 		for _, t := range k.Live() {
 			if t == task {
 				at = append(at, k.Name)
@@ -353,7 +361,7 @@
 	w.t.Helper()
 	w.rules.Overdue()
 	seen := map[string]string{}
-	for _, k := range w.workers {
+	for _, k := range w.listWorkers() {
 		for _, t := range k.Live() {
 			if o := seen[t]; o != "" {
 				w.t.Fatalf("%s runs on %s and on %s", t, o, k.Name)
@@ -364,7 +372,7 @@
 }
 
 func (w *testCluster) worn(name string) *fake.Worker {
-	for _, k := range w.workers {
+	for _, k := range w.listWorkers() {
 		if k.Name == name {
 			return k
 		}
--- /dev/null
+++ b/internal/rollout/scale_test.go
@@ -0,0 +1,44 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// BenchmarkPlan is the time to plan a rollout over all machines; the figures are in docs/drains.md.
+func BenchmarkPlan(b *testing.B) {
+	for _, machines := range []int{50, 500, 6000} {
+		b.Run(fmt.Sprint(machines), func(b *testing.B) {
+			f := newFleet(machines)
+			spec := wholeFleet("spring")
+			spec.WaveSize = max(1, machines/20)
+			for b.Loop() {
+				if _, err := MakePreview(spec, f, time.Now()); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func TestChangesOfTheStoreFollowTheWavesNotTheMachines(t *testing.T) {
+	// Twenty waves, whatever the size of the fleet: what is stored changes by waves and parts.
+	for _, machines := range []int{50, 500, 6000} {
+		play(t, machines, func(s *stage) {
+			s.lead("b")
+			spec := wholeFleet("spring")
+			spec.Replace, spec.Surge, spec.WaveSize = true, true, (machines+19)/20
+			if _, err := s.service.Start(s.ctx, spec); err != nil {
+				t.Fatal(err)
+			}
+			s.reaches("spring", Ended, 20*time.Minute)
+			synctest.Wait()
+			if n := s.store.Epoch(); n > 400 {
+				t.Errorf("%d transactions for %d machines", n, machines)
+			}
+			t.Logf("%d machines: %d transactions", machines, s.store.Epoch())
+		})
+	}
+}
