--- a/internal/claim/drain.go
+++ b/internal/claim/drain.go
@@ -29,11 +29,14 @@
 			b.moveReplica(m, now)
 			continue
 		}
+		if !taken && b.disruption != nil {
+			continue // emptied within the budgets
+		}
 		for p := range b.placesOn(name) {
 			if p.stopping {
 				continue
 			}
-			why := "machine " + string(name) + " is drained: " + m.Draining
+			why := drainedText(m)
 			lee := p.leewayWanted()
 			if taken {
 				left := m.TakenAt.Sub(now)
@@ -49,6 +52,11 @@
 	}
 }
 
+// drainedText is why tasks are stopped on a machine on which tasks keep failing.
+func drainedText(m *worker.Machine) string {
+	return "machine " + string(m.Name) + " is drained: " + m.Draining
+}
+
 // movedRoomFor is how long room is kept for a replica that is moved off a machine to be returned.
 const movedRoomFor = 5 * time.Second
 
--- a/internal/claim/evictions.go
+++ b/internal/claim/evictions.go
@@ -47,9 +47,12 @@
 	stored  map[*Job]uint64 // by job, the version that holds its permits
 }
 
-// consolidation stands as the rollout of replicas that the leader moves by itself, off machines
-// that are to be returned. No rollout has that name.
-const consolidation rollout.Name = "~consolidation"
+// What the leader empties by itself stands as a rollout of a name that none has: replicas moved off
+// machines that are to be returned, and machines on which tasks keep failing.
+const (
+	consolidation rollout.Name = "~consolidation"
+	faulty        rollout.Name = "~faulty"
+)
 
 // evictEvery spaces the looks at what may be stopped.
 const evictEvery = 200 * time.Millisecond
@@ -137,7 +140,7 @@
 // evict looks at what may be stopped for rollouts, and has it stopped.
 func (b *ClusterState) evict(now time.Time) {
 	d := b.disruption
-	if d == nil || now.Sub(d.looked) < evictEvery || len(d.orders.Machines) == 0 && len(d.evicted) == 0 {
+	if d == nil || now.Sub(d.looked) < evictEvery || len(d.orders.Machines) == 0 && len(d.evicted) == 0 && len(b.leaving) == 0 {
 		return
 	}
 	d.looked = now
@@ -154,8 +157,9 @@
 	}
 	meter := b.disruptionMeter(now)
 	b.stopEvicted(meter, now)
-	for _, name := range slices.Sorted(maps.Keys(d.orders.Machines)) {
-		switch order := d.orders.Machines[name]; {
+	orders := b.drainOrders()
+	for _, name := range slices.Sorted(maps.Keys(orders)) {
+		switch order := orders[name]; {
 		case order.Drain:
 			b.emptyMachine(name, order, meter, now)
 		case order.Return:
@@ -164,6 +168,19 @@
 	}
 }
 
+// drainOrders are the machines that rollouts want emptied or returned, and those that the leader
+// empties because tasks keep failing there.
+func (b *ClusterState) drainOrders() map[ids.Machine]rollout.Order {
+	orders := maps.Clone(b.disruption.orders.Machines)
+	for name := range b.leaving {
+		_, ordered := orders[name]
+		if m := b.roster.Machines[name]; !ordered && m != nil && m.Draining != "" && m.TakenAt.IsZero() {
+			orders[name] = rollout.Order{Rollout: faulty, Drain: true, Stop: true}
+		}
+	}
+	return orders
+}
+
 func (b *ClusterState) waitsFor(machine ids.Machine, why ...string) {
 	b.disruption.waits[machine] = append(b.disruption.waits[machine], why...)
 }
@@ -293,25 +310,31 @@
 			continue
 		}
 		delete(d.pending, p)
-		b.stop(p, p.leewayWanted(), step.reason(p))
+		b.stop(p, p.leewayWanted(), b.whyEvicted(step, p))
 	}
 }
 
 // carriesOn tells whether what an eviction was decided for is still wanted.
 func (b *ClusterState) carriesOn(step *evictionStep, p *Place) bool {
-	if step.rollout == consolidation {
-		m := b.roster.Machines[p.Machine]
+	m := b.roster.Machines[p.Machine]
+	switch step.rollout {
+	case consolidation:
 		return m != nil && m.Going
+	case faulty:
+		return m != nil && m.Draining != ""
 	}
 	return b.disruption.active(step.rollout)
 }
 
-// reason is what the job's trail says of a stop.
-func (s *evictionStep) reason(p *Place) string {
-	if s.rollout == consolidation {
+// whyEvicted is what the job's trail says of a stop.
+func (b *ClusterState) whyEvicted(step *evictionStep, p *Place) string {
+	switch step.rollout {
+	case consolidation:
 		return movedOff(p.Machine)
+	case faulty:
+		return drainedText(b.roster.Machines[p.Machine])
 	}
-	return fmt.Sprintf("moved from %s by rollout %s, wave %d", p.Machine, s.rollout, s.wave)
+	return fmt.Sprintf("moved from %s by rollout %s, wave %d", p.Machine, step.rollout, step.wave)
 }
 
 // isStored tells whether the permits of the whole step are in the store.
--- a/internal/claim/evictions_test.go
+++ b/internal/claim/evictions_test.go
@@ -143,6 +143,25 @@
 	}
 }
 
+func TestAMachineOnWhichTasksFailIsEmptiedWithinTheBudget(t *testing.T) {
+	now := time.Now()
+	b := drainBook(t, now)
+	for _, name := range []ids.Machine{"m1", "m2"} {
+		b.roster.Machines[name].Draining = "tasks keep failing there"
+		b.leaving[name] = true
+	}
+	b.drains(now)
+	if stopping(b) != 0 {
+		t.Fatal("stopped without a permit")
+	}
+	evictNow(b, now)
+	b.store()
+	evictNow(b, now)
+	if n := stopping(b); n != 1 {
+		t.Errorf("%d replicas stopped at a time", n)
+	}
+}
+
 func TestWithoutDrainsAPassLooksAtNoBudget(t *testing.T) {
 	// Counted: a pass costs nothing more where drains are off, and one look in evictEvery where
 	// a rollout is under way.
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -82,6 +82,7 @@
 // which only the number is of use any more.
 func (r *Record) EncodeFinal(limit int) (raw json.RawMessage, ok bool) {
 	small := *r
+	small.Evictions = nil // nothing is to run again
 	for {
 		raw, err := json.Marshal(&small)
 		if err != nil {
