--- a/internal/claim/allowances.go
+++ b/internal/claim/allowances.go
@@ -76,9 +76,9 @@
 	ps.demands[s.Team] = demand
 }
 
-// payOwed stops lesser work of teams whose allowance a more urgent demand of another shard
+// stopForOtherShards stops lesser work of teams whose allowance a more urgent demand of another shard
 // is owed.
-func (b *ClusterState) payOwed() {
+func (b *ClusterState) stopForOtherShards() {
 	if b.set.Shards() == 1 || !b.Storing() {
 		return
 	}
--- a/internal/claim/cluster_state.go
+++ b/internal/claim/cluster_state.go
@@ -77,7 +77,7 @@
 	lost         bool
 	loaded       bool // all records were read after the takeover
 	sampled      time.Time
-	spent        spent
+	costs        costs
 	moved        time.Time
 	emptying     ids.Machine // its services are being moved elsewhere
 	emptyingAt   time.Time
@@ -85,7 +85,7 @@
 	size         atomic.Int64         // machines, as last counted
 	dark         map[string]bool      // zones of which nothing was heard at the last look
 	boots        map[string]*boots    // by type
-	owed         map[string]owing     // by team
+	limitHolds   map[string]limitHold // by team
 	pipes        pipelines
 	// cancellations are the revisions of those stored apart from their jobs' records.
 	cancellations map[ids.Job]ids.Revision
@@ -131,7 +131,7 @@
 		returned:      map[ids.Machine]bool{},
 		dark:          map[string]bool{},
 		boots:         map[string]*boots{},
-		owed:          map[string]owing{},
+		limitHolds:    map[string]limitHold{},
 		pipes:         newPipelines(),
 		cancellations: map[ids.Job]ids.Revision{},
 		Storing:       func() bool { return true },
--- a/internal/claim/explain.go
+++ b/internal/claim/explain.go
@@ -90,6 +90,6 @@
 	}
 	return map[string]any{"generation": b.gen, "jobs": len(b.jobs), "placed": places, "machines": len(b.roster.Machines),
 		"heard": heard, "draining": draining, "cordoned": cordoned, "waiting": waiting,
-		"spent": map[string]any{"boot": cents(b.spent.boot), "idle": cents(b.spent.idle), "free": cents(b.spent.free), "fetch": cents(b.spent.fetch),
-			"wait": cents(b.spent.wait), "run": cents(b.spent.run), "againCoreSeconds": maps.Clone(b.spent.again)}}
+		"spent": map[string]any{"boot": cents(b.costs.boot), "idle": cents(b.costs.idle), "free": cents(b.costs.free), "fetch": cents(b.costs.fetch),
+			"wait": cents(b.costs.wait), "run": cents(b.costs.run), "againCoreSeconds": maps.Clone(b.costs.again)}}
 }
--- a/internal/claim/fairness_test.go
+++ b/internal/claim/fairness_test.go
@@ -93,7 +93,7 @@
 		b := fleet(t, 1)
 		b.setTeams(config.Team{Name: "red", CPUs: 4}, config.Team{Name: "blue"})
 		b.Learn("job-1", 1, rec("job-1", "blue", record.Low, 1, 4), time.Now())
-		b.jobs["job-1"].aside = time.Now() // machines were looked for to set aside
+		b.jobs["job-1"].reservationSought = time.Now() // machines were looked for to set aside
 		b.Plan(time.Now())
 		place := b.jobs["job-1"].places[0]
 		if place == nil {
--- a/internal/claim/gang.go
+++ b/internal/claim/gang.go
@@ -122,7 +122,7 @@
 	for range missing {
 		ok, victim := b.preempt(j, ask, ps)
 		if !ok {
-			if b.setAside(j, ask, missing, ps.now) {
+			if b.reserveMachines(j, ask, missing, ps.now) {
 				j.waiting = "waits for machines set aside for it"
 			}
 			return
--- a/internal/claim/job.go
+++ b/internal/claim/job.go
@@ -84,7 +84,7 @@
 	guaranteed           bool // lies within its team's guarantee
 	failed               failures
 	lost                 losses
-	aside                time.Time // when machines to set aside were last looked for
+	reservationSought    time.Time // when machines to set aside were last looked for
 	// inherited is the urgency of the jobs that await this one.
 	inherited dependency.Urgency
 }
--- a/internal/claim/preempt.go
+++ b/internal/claim/preempt.go
@@ -15,11 +15,11 @@
 // reservation keeps room that was freed by stopping others for whom it was
 // freed.
 type reservation struct {
-	job   ids.Job
-	need  placement.Room // others may use what is beyond it
-	made  time.Time
-	until time.Time
-	aside bool // kept free for it as it empties, nothing was stopped
+	job           ids.Job
+	need          placement.Room // others may use what is beyond it
+	made          time.Time
+	until         time.Time
+	whileEmptying bool // kept free for it as it empties, nothing was stopped
 }
 
 // victimKey is what decides whom a job may displace.
--- a/internal/claim/reservations.go
+++ b/internal/claim/reservations.go
@@ -28,40 +28,40 @@
 	return now.Sub(waitsSince) > starving
 }
 
-// Machines are set aside for asideFor at most; others are looked for again after
-// asideAgain; and all together are one machine in asideShare, but for a job that
+// Machines are set aside for reservedFor at most; others are looked for again after
+// reserveAgain; and all together are one machine in reservedShare, but for a job that
 // needs more at once.
 const (
-	asideFor   = time.Minute
-	asideAgain = 5 * time.Second
-	asideShare = 20
+	reservedFor   = time.Minute
+	reserveAgain  = 5 * time.Second
+	reservedShare = 20
 )
 
-// wantsAside tells whether machines are to be set aside for a job that lacks n. High
+// wantsReservation tells whether machines are to be set aside for a job that lacks n. High
 // work stops others instead; but on the dearest machines all work may be high: each
 // that ends is followed by a gang of one, and one that needs two at once never begins.
-func (j *Job) wantsAside(n int, now time.Time) bool {
+func (j *Job) wantsReservation(n int, now time.Time) bool {
 	if j.priority() >= record.High && (n < 2 || j.Rec.Spec.Shape != record.Gang) {
 		return false
 	}
-	return !j.suspect() && j.starves(now) && now.Sub(j.aside) >= asideAgain
+	return !j.suspect() && j.starves(now) && now.Sub(j.reservationSought) >= reserveAgain
 }
 
-// setAside keeps n machines for a starving job, those that are soonest free
+// reserveMachines keeps n machines for a starving job, those that are soonest free
 // enough; it tells whether it did. It looks at every machine, but once a minute
 // for a job that starves.
-func (b *ClusterState) setAside(j *Job, ask *placement.Ask, n int, now time.Time) bool {
-	if !j.wantsAside(n, now) {
+func (b *ClusterState) reserveMachines(j *Job, ask *placement.Ask, n int, now time.Time) bool {
+	if !j.wantsReservation(n, now) {
 		return false
 	}
-	j.aside = now
+	j.reservationSought = now
 	held := 0
 	for _, r := range b.reserved {
-		if r.aside && r.until.After(now) {
+		if r.whileEmptying && r.until.After(now) {
 			held++
 		}
 	}
-	if held+n > max(2*n, len(b.hosts)/asideShare) {
+	if held+n > max(2*n, len(b.hosts)/reservedShare) {
 		return false
 	}
 	type candidate struct {
@@ -107,12 +107,12 @@
 	if len(cs) < n {
 		return false
 	}
-	until := now.Add(asideFor)
+	until := now.Add(reservedFor)
 	if j.priority() >= record.High {
-		until = now.Add(2 * asideFor) // what runs there runs long
+		until = now.Add(2 * reservedFor) // what runs there runs long
 	}
 	for _, c := range cs[:n] {
-		b.reserved[c.h.name] = reservation{job: j.Rec.Spec.ID, need: ask.Need, made: now, until: until, aside: true}
+		b.reserved[c.h.name] = reservation{job: j.Rec.Spec.ID, need: ask.Need, made: now, until: until, whileEmptying: true}
 	}
 	b.note(j, "%d machines set aside for it, %s the first", n, cs[0].h.name)
 	return true
--- a/internal/claim/schedule.go
+++ b/internal/claim/schedule.go
@@ -84,7 +84,7 @@
 	defer measure.Process.Took("planning pass", time.Now())
 	b.drains(now)
 	b.evict(now)
-	b.payOwed()
+	b.stopForOtherShards()
 	ps := newPass(now)
 	b.examinedAtHold = b.machinesExamined
 	for _, j := range b.ranked(now) {
@@ -167,7 +167,7 @@
 			why = "no machine has room"
 			if ok, victim := b.preempt(j, &ask, ps); ok {
 				why = "waits for room freed on " + victim
-			} else if b.setAside(j, &ask, 1, now) {
+			} else if b.reserveMachines(j, &ask, 1, now) {
 				why = "waits for a machine set aside for it"
 			}
 			if r == nil {
@@ -218,10 +218,10 @@
 			fresh = append(fresh, p)
 		}
 	}
-	if !j.aside.IsZero() {
+	if !j.reservationSought.IsZero() {
 		b.keepForNow(j, fresh)
 		b.release(j) // it has begun, perhaps elsewhere
-		j.aside = time.Time{}
+		j.reservationSought = time.Time{}
 	}
 	b.noteMoved(j, fresh)
 }
--- a/internal/claim/takeover.go
+++ b/internal/claim/takeover.go
@@ -129,7 +129,7 @@
 			p.runTerm(tctx, t)
 		}
 	}()
-	go p.confirmStopped(tctx, t, p.whoMayAnswer(prev, now)...)
+	go p.confirmStopped(tctx, t, p.possibleLeaders(prev, now)...)
 }
 
 // load reads every live record; the takeover's commit keeps older leaders from
@@ -204,12 +204,12 @@
 	}
 }
 
-// whoMayAnswer names the controllers that may still be answering beats under an
+// possibleLeaders names the controllers that may still be answering beats under an
 // older generation: only the last leader, if this node has seen it own the pool
 // for longer than the grace of whoever was before it; otherwise none is named, and
 // all must be asked. In a zone that is cut off there may be controllers, which
 // cannot confirm anything, and need not.
-func (p *Pool) whoMayAnswer(prev generationRec, now time.Time) []ids.Node {
+func (p *Pool) possibleLeaders(prev generationRec, now time.Time) []ids.Node {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if prev.Writer == "" || prev.Node == p.Set.HostName || prev.Writer != p.last.writer || now.Sub(p.last.since) < p.Set.Grace().Drifted()+time.Second {
--- a/internal/claim/usage.go
+++ b/internal/claim/usage.go
@@ -9,10 +9,10 @@
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
-// spent counts what the machines cost this leader, by what they were doing, and
+// costs counts what the machines cost this leader, by what they were doing, and
 // the work that has to be done again. It answers an operator's question of
 // where the money goes; nothing is decided by it.
-type spent struct {
+type costs struct {
 	boot, idle, free, fetch, wait, run float64            // money
 	again                              map[string]float64 // core-seconds, by cause
 	at, told                           time.Time
@@ -20,7 +20,7 @@
 
 // account adds what the time since the last call cost.
 func (b *ClusterState) account(now time.Time) {
-	s := &b.spent
+	s := &b.costs
 	if s.again == nil {
 		s.again = map[string]float64{}
 	}
@@ -77,7 +77,7 @@
 
 // redo counts work lost with a task that was stopped or vanished.
 func (b *ClusterState) redo(p *Place, cause string, now time.Time) {
-	if p.ranSince.IsZero() || p.Job.Rec.Spec.Shape == record.Service || b.spent.again == nil {
+	if p.ranSince.IsZero() || p.Job.Rec.Spec.Shape == record.Service || b.costs.again == nil {
 		return
 	}
 	s := &p.Job.Rec.Spec
@@ -85,5 +85,5 @@
 	if s.Checkpoint > 0 {
 		ran = math.Mod(ran, float64(s.Checkpoint))
 	}
-	b.spent.again[cause] = math.Round(b.spent.again[cause] + ran*s.Need.Cores)
+	b.costs.again[cause] = math.Round(b.costs.again[cause] + ran*s.Need.Cores)
 }
--- a/internal/claim/yield.go
+++ b/internal/claim/yield.go
@@ -9,20 +9,20 @@
 	"github.com/pebbletrail/pebbletrail/internal/record"
 )
 
-// owing is room of a team's limit that lesser work of its own leaves to a job that
+// limitHold is room of a team's limit that lesser work of its own leaves to a job that
 // waits for it: given to lesser work again as it frees up, the job would never begin.
-type owing struct {
+type limitHold struct {
 	job   *Job
 	need  placement.Room
 	until time.Time
 }
 
-// owedFor is how long that holds unless the job is found waiting again.
-const owedFor = 2 * time.Second
+// limitHoldFor is how long that holds unless the job is found waiting again.
+const limitHoldFor = 2 * time.Second
 
 // withheld is what a job must leave of its team's limit to one that goes first.
 func (b *ClusterState) withheld(j *Job, now time.Time) placement.Room {
-	o, ok := b.owed[j.Rec.Spec.Team]
+	o, ok := b.limitHolds[j.Rec.Spec.Team]
 	if !ok || o.job == j || !o.until.After(now) || !o.job.claimable() || j.priority() >= o.job.priority() {
 		return placement.Room{}
 	}
@@ -73,7 +73,7 @@
 		}
 	}
 	if k := left.Count(s.Need, n); k > 0 && (k == n || s.Shape != record.Gang) {
-		b.owed[s.Team] = owing{job: j, need: s.Need.Times(float64(k)), until: now.Add(owedFor)}
+		b.limitHolds[s.Team] = limitHold{job: j, need: s.Need.Times(float64(k)), until: now.Add(limitHoldFor)}
 	}
 	sort.Slice(victims, func(x, y int) bool {
 		a, z := victims[x], victims[y]
