Rehearsals share their command; the record's judge of a drain has tests of its own

The two rehearse commands stood twice. The judge is shown two replicas at a time, one that failed long before, one that failed a moment ago and a stop without a stored permit: it tells them apart.

--- a/cmd/pebbletrail/rehearse.go
+++ b/cmd/pebbletrail/rehearse.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -20,38 +21,38 @@
 	return c
 }
 
+// findings are what a rehearsal came to.
+type findings interface {
+	Print(out io.Writer)
+	Failed() bool
+}
+
+// rehearse runs a rehearsal in its folder and tells what it came to.
+func rehearse(cmd *cobra.Command, folder string, program *string, run func() (findings, error)) error {
+	if err := defaultProgram(program); err != nil {
+		return err
+	}
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return err
+	}
+	found, err := run()
+	if err != nil {
+		return err
+	}
+	found.Print(cmd.OutOrStdout())
+	fmt.Fprintf(cmd.OutOrStdout(), "record and report: %s\n", folder)
+	if found.Failed() {
+		return errRehearsalFailed
+	}
+	return nil
+}
+
 func rehearseQuotaCommand() *cobra.Command {
 	options := rehearsal.QuotaOptions{}
 	c := &cobra.Command{
 		Use: "quota", Short: "Floods controllers with submissions while they fail, and checks every team's limit", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := defaultProgram(&options.Program); err != nil {
-				return err
-			}
-			if err := os.MkdirAll(options.Folder, 0o700); err != nil {
-				return err
-			}
-			found, err := rehearsal.RunQuota(options)
-			if err != nil {
-				return err
-			}
-			out := cmd.OutOrStdout()
-			fmt.Fprintf(out, "%d jobs, %d accepted, %d refusals, %d starts, %d changes of the state service in %v\n",
-				found.Jobs, found.Accepted, found.Refusals, found.Starts, found.Changes, found.Took.Round(time.Second))
-			fmt.Fprintf(out, "breaches of a limit: %d; tasks doubled: %d; accepted jobs never started: %d; waits within the guarantee: %v\n",
-				len(found.Breaches), len(found.Doubled), len(found.Unserved), found.GuaranteeWaits)
-			fmt.Fprintf(out, "transfers of allowance: %d\n", found.Transfers)
-			for _, breach := range found.Breaches {
-				fmt.Fprintln(out, breach)
-			}
-			if found.Midway != "" {
-				fmt.Fprintln(out, "ended before its time:", found.Midway)
-			}
-			fmt.Fprintf(out, "record and report: %s\n", options.Folder)
-			if found.Failed() {
-				return errRehearsalFailed
-			}
-			return nil
+			return rehearse(cmd, options.Folder, &options.Program, func() (findings, error) { return rehearsal.RunQuota(options) })
 		},
 	}
 	flags := c.Flags()
@@ -67,35 +68,12 @@
 	return c
 }
 
-// defaultProgram names this program's own file where none is given.
-func defaultProgram(program *string) (err error) {
-	if *program == "" {
-		*program, err = os.Executable()
-	}
-	return err
-}
-
 func rehearseDrainCommand() *cobra.Command {
 	options := rehearsal.DrainOptions{}
 	c := &cobra.Command{
 		Use: "drain", Short: "Replaces all machines in waves while controllers, machines and replacements fail, and checks every budget", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := defaultProgram(&options.Program); err != nil {
-				return err
-			}
-			if err := os.MkdirAll(options.Folder, 0o700); err != nil {
-				return err
-			}
-			found, err := rehearsal.RunDrain(options)
-			if err != nil {
-				return err
-			}
-			found.Print(cmd.OutOrStdout())
-			fmt.Fprintf(cmd.OutOrStdout(), "record and report: %s\n", options.Folder)
-			if found.Failed() {
-				return errRehearsalFailed
-			}
-			return nil
+			return rehearse(cmd, options.Folder, &options.Program, func() (findings, error) { return rehearsal.RunDrain(options) })
 		},
 	}
 	flags := c.Flags()
@@ -108,3 +86,11 @@
 	flags.DurationVar(&options.Longest, "longest", 10*time.Minute, "the run ends by then, whatever happens")
 	return c
 }
+
+// defaultProgram names this program's own file where none is given.
+func defaultProgram(program *string) (err error) {
+	if *program == "" {
+		*program, err = os.Executable()
+	}
+	return err
+}
--- a/internal/rehearsal/quota.go
+++ b/internal/rehearsal/quota.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -51,6 +52,21 @@
 	return len(f.Breaches) > 0 || len(f.Doubled) > 0 || len(f.Unserved) > 0 || f.Midway != "" || f.slowestGuarantee() > f.Within || f.Starts == 0
 }
 
+// Print tells the outcome in a few lines.
+func (f *Findings) Print(out io.Writer) {
+	fmt.Fprintf(out, "%d jobs, %d accepted, %d refusals, %d starts, %d changes of the state service in %v\n",
+		f.Jobs, f.Accepted, f.Refusals, f.Starts, f.Changes, f.Took.Round(time.Second))
+	fmt.Fprintf(out, "breaches of a limit: %d; tasks doubled: %d; accepted jobs never started: %d; waits within the guarantee: %v\n",
+		len(f.Breaches), len(f.Doubled), len(f.Unserved), f.GuaranteeWaits)
+	fmt.Fprintf(out, "transfers of allowance: %d\n", f.Transfers)
+	for _, breach := range f.Breaches {
+		fmt.Fprintln(out, breach)
+	}
+	if f.Midway != "" {
+		fmt.Fprintln(out, "ended before its time:", f.Midway)
+	}
+}
+
 func (f *Findings) slowestGuarantee() time.Duration {
 	if len(f.GuaranteeWaits) == 0 {
 		return 0
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -3,6 +3,7 @@
 import (
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -84,3 +85,39 @@
 		t.Error(err)
 	}
 }
+
+func TestTheRecordOfADrainShowsEachBreach(t *testing.T) {
+	// Two replicas of a team that may have one down; a stop without a stored permit; and a replica
+	// that failed long before counts as well.
+	second := time.Second
+	start := func(at time.Duration, task, where string) Event {
+		return Event{At: at, Kind: TaskStarted, Team: "kiosk", Job: "job-000001", Task: task, Where: where}
+	}
+	end := func(at time.Duration, task, where, why string) Event {
+		return Event{At: at, Kind: TaskEnded, Team: "kiosk", Job: "job-000001", Task: task, Where: where, Why: why}
+	}
+	permit := func(at time.Duration, task string) Event {
+		return Event{At: at, Kind: Evicted, Job: "job-000001", Task: task, Why: "rollout spring, wave 1"}
+	}
+	up := []Event{start(0, "job-000001/0", "m1"), start(0, "job-000001/1", "m2"), permit(second, "job-000001/0"), permit(second, "job-000001/1")}
+	for name, c := range map[string]struct {
+		events []Event
+		breach string
+	}{
+		"within the budget":       {[]Event{end(2*second, "job-000001/0", "m1", "stopped"), start(3*second, "job-000001/0", "m3"), end(4*second, "job-000001/1", "m2", "stopped")}, ""},
+		"two at a time":           {[]Event{end(2*second, "job-000001/0", "m1", "stopped"), end(3*second, "job-000001/1", "m2", "stopped")}, "2 replicas down (2 stopped by drains) of at most 1"},
+		"one failed long before":  {[]Event{end(2*second, "job-000001/0", "m1", "killed"), end(20*second, "job-000001/1", "m2", "stopped")}, "2 replicas down (1 stopped by drains) of at most 1"},
+		"one failed a moment ago": {[]Event{end(2*second, "job-000001/0", "m1", "killed"), end(3*second, "job-000001/1", "m2", "stopped")}, ""},
+		"a stop without a permit": {[]Event{start(2*second, "job-000001/2", "m1"), end(3*second, "job-000001/2", "m1", "stopped")}, "no permit was stored"},
+	} {
+		f := DrainFindings{Teams: []drainTeam{{Team: Team{Name: "kiosk"}, Replicas: 2, Budget: 1}}, Events: append(slices.Clone(up), c.events...), Midway: "the time was up"}
+		f.count()
+		if breaches := strings.Join(f.Breaches, "; "); c.breach == "" && breaches != "" || !strings.Contains(breaches, c.breach) {
+			t.Errorf("%s: %q, not %q", name, breaches, c.breach)
+		}
+		page, err := f.Report()
+		if err != nil || !f.Failed() || !strings.Contains(string(page), "The run ended before its time: the time was up") {
+			t.Errorf("%s: failed %v: %v", name, f.Failed(), err)
+		}
+	}
+}
