--- a/internal/claim/drain_test.go
+++ b/internal/claim/drain_test.go
@@ -247,16 +247,22 @@
 func TestTwoRolloutsInEachOthersWayBothEnd(t *testing.T) {
 	t.Parallel()
 	// The cloud has no more machines: what one rollout has to move fits only where the other one
-	// has cordoned. The younger makes way.
+	// has cordoned. The younger makes way, and ends once the cloud has machines again.
 	drainScenario(t, 2, drainOptions{room: 4}, func(t *testing.T, c *drainCluster) {
-		c.service("job-1", 4, "cores", 2, "ramGb", 8)
+		c.service("job-2", 2, "yard", "south", "cores", 0.1, "ramGb", 9) // one on each machine there
+		park := drain("park", c.in("south")...)
+		park.Surge = true
+		c.begin(park)
+		c.until(time.Minute, "the south is cordoned", func() bool { return c.cordoned() == 2 })
+		c.service("job-1", 4, "cores", 1.5, "ramGb", 3)
+		c.do("park", rollout.AbortIt)
+		c.reaches("park", rollout.Ended, time.Minute)
 		first, second := drain("first", c.in("north")...), drain("second", c.in("south")...)
 		first.Surge, second.Surge = true, true
 		c.begin(first)
 		c.begin(second)
-		c.until(4*time.Minute, "a machine is returned", func() bool { return len(c.in("north"))+len(c.in("south")) < 4 })
-		c.cloud.SetRoom(4)
 		c.reaches("first", rollout.Ended, 10*time.Minute)
+		c.cloud.SetRoom(4)
 		c.reaches("second", rollout.Ended, 10*time.Minute)
 	})
 }
--- a/internal/claim/evictions_test.go
+++ b/internal/claim/evictions_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/placement"
 	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/rollout"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
@@ -162,6 +163,23 @@
 	}
 }
 
+func TestRoomElsewhereMayBeOnAMachineWithAccelerators(t *testing.T) {
+	// Where nothing else has room, or a rollout that rents first would wait for ever.
+	now := time.Now()
+	b := drainBook(t, now)
+	b.SetTypes(append(testTypes(), placement.Type{Label: "dear", Cores: 8, Accels: 2, RAM: 64, Zones: []string{"north"}}))
+	j := b.jobs["job-1"]
+	if h := b.roomFor(j, nil, nil, now); h != nil {
+		t.Fatalf("room on %s, which is full", h.name)
+	}
+	hear(b, "m9", 1, now)
+	b.roster.Machines["m9"].Type = "dear"
+	b.shelve(b.hostOf("m9"))
+	if h := b.roomFor(j, nil, nil, now); h == nil || h.name != "m9" {
+		t.Errorf("room on %v", h)
+	}
+}
+
 func TestWithoutDrainsAPassLooksAtNoBudget(t *testing.T) {
 	// Counted: a pass costs nothing more where drains are off, and one look in evictEvery where
 	// a rollout is under way.
