A rollout halts when the cloud runs out of the type in the middle of a wave: its test

Need: the hard case was tested with the first machine refused only, not with a wave's hire answered in part.

--- a/internal/claim/drain_test.go
+++ b/internal/claim/drain_test.go
@@ -486,10 +486,12 @@
 		begin func(c *drainCluster)
 		end   func(c *drainCluster)
 		after bool // the trouble begins once the wave's replacement is rented
+		wave  int
 	}{
-		{"down", func(c *drainCluster) { c.cloud.SetDown(true) }, func(c *drainCluster) { c.cloud.SetDown(false) }, false},
-		{"down in the middle of a wave", func(c *drainCluster) { c.cloud.SetDown(true) }, func(c *drainCluster) { c.cloud.SetDown(false) }, true},
-		{"out of the type", func(c *drainCluster) { c.cloud.SetRoom(0) }, func(c *drainCluster) { c.cloud.SetRoom(40) }, false},
+		{"down", func(c *drainCluster) { c.cloud.SetDown(true) }, func(c *drainCluster) { c.cloud.SetDown(false) }, false, 1},
+		{"down in the middle of a wave", func(c *drainCluster) { c.cloud.SetDown(true) }, func(c *drainCluster) { c.cloud.SetDown(false) }, true, 1},
+		{"out of the type", func(c *drainCluster) { c.cloud.SetRoom(0) }, func(c *drainCluster) { c.cloud.SetRoom(40) }, false, 1},
+		{"out of the type in the middle of a wave", func(c *drainCluster) { c.cloud.SetRoom(1) }, func(c *drainCluster) { c.cloud.SetRoom(40) }, false, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -497,7 +499,7 @@
 			drainScenario(t, 3, drainOptions{room: 40}, func(t *testing.T, c *drainCluster) {
 				c.service("job-1", 6)
 				spec := replacing("spring", c)
-				spec.WaveSize = 1
+				spec.WaveSize = trouble.wave
 				if !trouble.after {
 					trouble.begin(c)
 				}
