A gang is moved whole also off a machine on which tasks keep failing

Cause: found on reading the change again. Whether such an eviction still stands was asked of the machine of each task, and a gang's other tasks are on good ones: their permits were withdrawn, they were not told to save, and ended as a gang that lost a task. Change: a step remembers the machine that it empties. Result: the new test fails without it (1 of 2 tasks told to save and stop) and passes with it.

--- a/internal/claim/emptying.go
+++ b/internal/claim/emptying.go
@@ -38,7 +38,7 @@
 	if len(first) == 0 {
 		return
 	}
-	step := &evictionStep{rollout: order.Rollout, wave: order.Wave, stored: map[*Job]uint64{}}
+	step := &evictionStep{rollout: order.Rollout, wave: order.Wave, machine: name, stored: map[*Job]uint64{}}
 	reserved := map[ids.Machine]reservation{}
 	if why := b.whyNotElsewhere(first, order, reserved, now); len(why) > 0 {
 		b.disruption.noRoom[name] = true
--- a/internal/claim/evictions.go
+++ b/internal/claim/evictions.go
@@ -44,6 +44,9 @@
 type evictionStep struct {
 	rollout rollout.Name
 	wave    int
+	// machine is the one that is emptied; a gang's other tasks are elsewhere. After a takeover
+	// it is not known.
+	machine ids.Machine
 	stored  map[*Job]uint64 // by job, the version that holds its permits
 }
 
@@ -316,7 +319,7 @@
 
 // carriesOn tells whether what an eviction was decided for is still wanted.
 func (b *ClusterState) carriesOn(step *evictionStep, p *Place) bool {
-	m := b.roster.Machines[p.Machine]
+	m := b.roster.Machines[cmp.Or(step.machine, p.Machine)]
 	switch step.rollout {
 	case consolidation:
 		return m != nil && m.Going
@@ -332,7 +335,7 @@
 	case consolidation:
 		return movedOff(p.Machine)
 	case faulty:
-		return drainedText(b.roster.Machines[p.Machine])
+		return drainedText(b.roster.Machines[cmp.Or(step.machine, p.Machine)])
 	}
 	return fmt.Sprintf("moved from %s by rollout %s, wave %d", p.Machine, step.rollout, step.wave)
 }
--- a/internal/claim/evictions_test.go
+++ b/internal/claim/evictions_test.go
@@ -163,6 +163,42 @@
 	}
 }
 
+func TestAGangIsMovedWholeOffAMachineOnWhichTasksFail(t *testing.T) {
+	// Its tasks on other machines must be stopped with the one there, or they end as failed and
+	// nothing is saved.
+	now := time.Now()
+	b := drainBook(t, now)
+	interrupted := uint32(2)
+	b.set.Features.Drains.DefaultBudget = &config.DisruptionBudget{TasksInterrupted: &interrupted}
+	b.disruption.budgets = b.set.Budgets()
+	for _, name := range []ids.Machine{"m5", "m6"} {
+		hear(b, name, b.first, now)
+	}
+	gang := rec("job-2", "red", record.Normal, 2, 4)
+	gang.Spec.Shape, gang.Spec.Checkpoint, gang.Spec.Save = record.Gang, 10, 1
+	b.Learn("job-2", 1, gang, now)
+	b.Plan(now)
+	b.store()
+	for _, p := range b.jobs["job-2"].places {
+		p.sent, p.seen, p.status, p.ranSince = true, true, worker.Running, now.Add(-time.Minute)
+	}
+	b.roster.Machines["m5"].Draining = "tasks keep failing there"
+	b.leaving["m5"] = true
+	for range 3 {
+		evictNow(b, now)
+		b.store()
+	}
+	stopped := 0
+	for _, p := range b.jobs["job-2"].places {
+		if p.stopping && p.leeway > 0 {
+			stopped++
+		}
+	}
+	if stopped != 2 {
+		t.Errorf("%d of 2 tasks are told to save and stop", stopped)
+	}
+}
+
 func TestRoomElsewhereMayBeOnAMachineWithAccelerators(t *testing.T) {
 	// Where nothing else has room, or a rollout that rents first would wait for ever.
 	now := time.Now()
