What a rollout weighs is counted only where machines are chosen; one list of what a drain stops

Every look at a replacement counted the budgets of all teams, four times a second: weighing is a call of its own now. The plan had a copy of the list of what is to be stopped, with small differences: it uses the same one, so plans also name starts that are not confirmed, unsettled gangs and full records. States, requests and the rehearsal's waiting loops stood several times; a checker kept a number that nobody read.

--- a/internal/claim/disruption_rule_test.go
+++ b/internal/claim/disruption_rule_test.go
@@ -30,7 +30,6 @@
 	reclaimed map[string]bool
 	// over are gangs of which a task is done.
 	over map[string]bool
-	most map[string]int // the most that was down by drains, by team
 }
 
 // teamBudget is what the rule allows a team to have down at a time.
@@ -50,7 +49,7 @@
 
 func newDisruptionRule(r *rules, say func(rule, what string), budget map[string]teamBudget) *disruptionRule {
 	return &disruptionRule{say: say, rules: r, budget: budget, tasks: map[string]*watchedTask{}, stops: map[string]int{}, knownWithin: defaultKnownWithin,
-		reclaimed: map[string]bool{}, over: map[string]bool{}, most: map[string]int{}}
+		reclaimed: map[string]bool{}, over: map[string]bool{}}
 }
 
 // Event takes what a worker did to a task.
@@ -115,7 +114,6 @@
 			known++
 		}
 	}
-	d.most[team] = max(d.most[team], byDrains)
 	allowed := d.budget[team]
 	if byDrains > allowed.replicas || known > allowed.replicas {
 		d.say("disruption", fmt.Sprintf("the stop of %s on %s makes %d replicas of %s down, %d of them by drains, of at most %d",
--- a/internal/claim/drain_view.go
+++ b/internal/claim/drain_view.go
@@ -1,7 +1,6 @@
 package claim
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -46,13 +45,8 @@
 	for p := range b.placesOn(name) {
 		seen.Evicting = seen.Evicting || p.evicted
 	}
-	if d := b.disruption; d != nil {
-		seen.NoRoom = d.noRoom[name]
-		if _, ordered := d.ordered(name); ordered {
-			seen.Blocked = slices.Clone(d.waits[name])
-			return seen
-		}
-		v.weigh(m, &seen)
+	if b.disruption != nil {
+		seen.NoRoom = b.disruption.noRoom[name]
 	}
 	return seen
 }
@@ -66,50 +60,34 @@
 	return order, ok
 }
 
-// weigh tells how many steps emptying a machine takes, and what blocks it now.
-func (v *drainView) weigh(m *worker.Machine, seen *rollout.Machine) {
+// Weigh tells how many steps emptying a machine takes, and what blocks it now.
+func (v *drainView) Weigh(name ids.Machine) (weight rollout.Weight) {
 	b := v.cluster
-	if len(b.placesOn(m.Name)) == 0 {
-		return
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	d, m := b.disruption, b.roster.Machines[name]
+	if d == nil || m == nil {
+		return weight
+	}
+	if _, ordered := d.ordered(name); ordered {
+		weight.Blocked = slices.Clone(d.waits[name])
+		return weight
 	}
 	if v.meter == nil {
 		v.meter = b.disruptionMeter(v.now)
 	}
-	units, whys := b.plannedUnits(m)
-	seen.Blocked = whys
-	steps := map[string]int{}
-	var requests []budget.Request
+	units, whys := b.evictionUnits(m, rollout.Order{})
+	weight.Blocked = whys
 	first, _ := firstOfEachTeam(units)
-	for _, u := range first {
-		requests = append(requests, b.evictionRequest(u.job, u.places[0], v.now))
-	}
-	for _, denial := range v.meter.Try(requests...) {
-		seen.Blocked = append(seen.Blocked, denial.String())
+	for _, denial := range v.meter.Try(b.evictionRequests(first, v.now)...) {
+		weight.Blocked = append(weight.Blocked, denial.String())
 	}
+	steps := map[string]int{}
 	for _, u := range units {
 		steps[u.team()]++
+		weight.Steps = max(weight.Steps, steps[u.team()])
 	}
-	for _, n := range steps {
-		seen.Steps = max(seen.Steps, n)
-	}
-}
-
-// plannedUnits is what emptying a machine would stop; it changes nothing.
-func (b *ClusterState) plannedUnits(m *worker.Machine) (units []evictionUnit, whys []string) {
-	seen := map[*Job]bool{}
-	for _, p := range b.sortedPlacesOn(m.Name) {
-		s := &p.Job.Rec.Spec
-		switch {
-		case p.stopping || !p.sent || seen[p.Job]:
-			continue
-		case !isService(s) && !mayInterrupt(s, rollout.Order{}):
-			whys = append(whys, fmt.Sprintf("%s can't save and runs to its end", p.Task()))
-			continue
-		}
-		seen[p.Job] = isGang(s)
-		units = append(units, evictionUnit{p.Job, []*Place{p}})
-	}
-	return units, whys
+	return weight
 }
 
 // surelyUnlisted tells that a machine this leader does not know is surely none: the cloud's list
--- a/internal/claim/emptying.go
+++ b/internal/claim/emptying.go
@@ -32,6 +32,7 @@
 		b.waitsFor(name, "nothing is heard of it")
 		return
 	}
+	b.dropUnsent(name)
 	units, whys := b.evictionUnits(m, order)
 	b.waitsFor(name, whys...)
 	first, more := firstOfEachTeam(units)
@@ -45,11 +46,7 @@
 		b.waitsFor(name, why...)
 		return
 	}
-	requests := make([]budget.Request, len(first))
-	for i, u := range first {
-		requests[i] = b.evictionRequest(u.job, u.places[0], now)
-	}
-	if denials := meter.Permit(requests...); len(denials) > 0 {
+	if denials := meter.Permit(b.evictionRequests(first, now)...); len(denials) > 0 {
 		measure.Process.Count(rollout.PermitsRefused, 1)
 		for _, denial := range denials {
 			b.waitsFor(name, denial.String())
@@ -59,7 +56,7 @@
 	granted := first
 	for _, u := range more {
 		one := []evictionUnit{u}
-		if len(b.whyNotElsewhere(one, order, reserved, now)) == 0 && len(meter.Permit(b.evictionRequest(u.job, u.places[0], now))) == 0 {
+		if len(b.whyNotElsewhere(one, order, reserved, now)) == 0 && len(meter.Permit(b.evictionRequests(one, now)...)) == 0 {
 			granted = append(granted, u)
 		}
 	}
@@ -87,8 +84,26 @@
 	}
 }
 
+// dropUnsent takes tasks off a machine that were never started there: it takes no permit.
+func (b *ClusterState) dropUnsent(name ids.Machine) {
+	for _, p := range b.sortedPlacesOn(name) {
+		if !p.sent && !p.stopping && !p.evicted {
+			b.stop(p, 0, "its machine is drained")
+		}
+	}
+}
+
+// evictionRequests is what it takes of the teams' budgets to stop units together.
+func (b *ClusterState) evictionRequests(units []evictionUnit, now time.Time) []budget.Request {
+	requests := make([]budget.Request, len(units))
+	for i, u := range units {
+		requests[i] = b.evictionRequest(u.job, u.places[0], now)
+	}
+	return requests
+}
+
 // evictionUnits lists what is to be stopped on a machine, and why the rest is not stopped now.
-// What was never started is dropped: nobody misses it.
+// It changes nothing.
 func (b *ClusterState) evictionUnits(m *worker.Machine, order rollout.Order) (units []evictionUnit, whys []string) {
 	limit := int(b.set.Params.State.ValueKB * 1024)
 	seen := map[*Job]bool{}
@@ -96,10 +111,7 @@
 		j := p.Job
 		s := &j.Rec.Spec
 		switch {
-		case p.stopping || p.evicted:
-			continue
-		case !p.sent:
-			b.stop(p, 0, "its machine is drained")
+		case p.stopping || p.evicted || !p.sent:
 			continue
 		case !p.seen:
 			whys = append(whys, fmt.Sprintf("the start of %s is not confirmed yet", p.Task()))
--- a/internal/rehearsal/drain.go
+++ b/internal/rehearsal/drain.go
@@ -272,21 +272,29 @@
 	return nil
 }
 
-// await waits for the rollout to come to something.
-func (r *drainRun) await(deadline time.Time, what string, reached func(rollout.Record) bool) error {
-	for !reached(r.stored()) {
+// pollEvery spaces the looks at what a run waits for.
+const pollEvery = 200 * time.Millisecond
+
+// until waits for a condition, at most until the run's deadline.
+func until(deadline time.Time, what string, reached func() bool) error {
+	for !reached() {
 		if time.Now().After(deadline) {
 			return fmt.Errorf("%w before %s", errTimeUp, what)
 		}
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(pollEvery)
 	}
 	return nil
 }
 
+// await waits for the rollout to come to something.
+func (r *drainRun) await(deadline time.Time, what string, reached func(rollout.Record) bool) error {
+	return until(deadline, what, func() bool { return reached(r.stored()) })
+}
+
 // awaitMachines waits until the leader has heard of all machines: what is submitted before has
 // others rented.
 func (r *drainRun) awaitMachines(deadline time.Time) error {
-	for time.Now().Before(deadline) {
+	return until(deadline, "all machines were heard", func() bool {
 		for _, controller := range r.cluster.controllers {
 			var status struct {
 				Pool *struct {
@@ -294,37 +302,30 @@
 				} `json:"pool"`
 			}
 			if r.status(controller, &status) == nil && status.Pool != nil && status.Pool.Heard >= r.options.Machines {
-				return nil
+				return true
 			}
 		}
-		time.Sleep(200 * time.Millisecond)
-	}
-	return fmt.Errorf("%w before all machines were heard", errTimeUp)
+		return false
+	})
 }
 
-// awaitReplicas waits until every replica runs.
+// awaitReplicas waits until every replica runs, and for as long as it takes to count as ready.
 func (r *drainRun) awaitReplicas(deadline time.Time) error {
 	wanted := 0
 	for _, team := range r.teams {
 		wanted += team.Replicas
 	}
-	for time.Now().Before(deadline) {
-		if up := replicasUp(r.cluster.Events()); up == wanted {
-			time.Sleep(2 * time.Second) // and count as ready
-			return nil
-		}
-		time.Sleep(200 * time.Millisecond)
+	err := until(deadline, fmt.Sprintf("all %d replicas ran", wanted), func() bool { return replicasUp(r.cluster.Events()) == wanted })
+	if err == nil {
+		time.Sleep(time.Duration(drainReadyS * float64(time.Second)))
 	}
-	return fmt.Errorf("%w before all %d replicas ran", errTimeUp, wanted)
+	return err
 }
 
 // awaitJobs waits until every task of the low jobs that were accepted is done.
 func (r *drainRun) awaitJobs(deadline time.Time) error {
-	for time.Now().Before(deadline) {
-		if fates := jobFates(r.cluster.Events()); fates.unfinished() == 0 {
-			return nil
-		}
-		time.Sleep(500 * time.Millisecond)
-	}
-	return fmt.Errorf("%w before all low jobs were done", errTimeUp)
+	return until(deadline, "all low jobs were done", func() bool {
+		accounted := jobFates(r.cluster.Events())
+		return accounted.unfinished() == 0
+	})
 }
--- a/internal/rollout/advance.go
+++ b/internal/rollout/advance.go
@@ -24,20 +24,27 @@
 	Tasks int
 	// Evicting tells that evictions of tasks on it are stored.
 	Evicting bool
-	// Steps is about how many steps emptying it takes under the budgets.
-	Steps int
-	// Blocked are the reasons why it can't be emptied now, NoRoom that one of them is that
-	// its tasks have no room elsewhere.
-	Blocked []string
-	NoRoom  bool
+	// NoRoom tells that it is being emptied and its tasks have no room elsewhere.
+	NoRoom bool
 	// Rented is when it was rented, as far as known.
 	Rented time.Time
 }
 
+// Weight is what emptying a machine takes as things are now.
+type Weight struct {
+	// Steps is about how many steps it takes under the budgets.
+	Steps int
+	// Blocked are the reasons why it can't be emptied.
+	Blocked []string
+}
+
 // View is what the leader knows of the fleet.
 type View interface {
 	// Machine looks at one machine.
 	Machine(name ids.Machine) Machine
+	// Weigh tells what emptying a machine takes. It counts all budgets, so it is asked only
+	// where machines are chosen.
+	Weigh(name ids.Machine) Weight
 	// HireAnswer tells what a hire has rented, once the cloud has answered it.
 	HireAnswer(name ids.Hire) (machines []ids.Machine, answered bool)
 }
@@ -121,7 +128,7 @@
 // follow takes in what became of machines, whatever the rollout's state: what is empty is
 // returned and what is gone is gone.
 func (a *advance) follow() error {
-	for _, state := range []MachineState{Cordoned, Draining, Empty} {
+	for _, state := range heldStates {
 		for _, name := range a.names(state) {
 			if a.view.Machine(name).Gone {
 				if err := a.moveMachine(name, state, Returned); err != nil {
@@ -231,7 +238,7 @@
 				}
 				continue
 			}
-			candidates = append(candidates, candidate{name: name, part: part, machine: m})
+			candidates = append(candidates, candidate{name: name, part: part, machine: m, weight: a.view.Weigh(name)})
 		}
 	}
 	var names []ids.Machine
--- a/internal/rollout/book.go
+++ b/internal/rollout/book.go
@@ -111,7 +111,7 @@
 func (b *book) holder(machines *MachineSet) (Name, ids.Machine, bool) {
 	for _, run := range b.underWay() {
 		sets := slices.Clone(run.left)
-		for _, state := range []MachineState{Cordoned, Draining, Empty} {
+		for _, state := range heldStates {
 			sets = append(sets, *run.record.in(state))
 		}
 		for i := range sets {
--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -22,7 +22,7 @@
 // comes up, unless a test says otherwise.
 type fleet struct {
 	mu       sync.Mutex
-	machines map[ids.Machine]*Machine
+	machines map[ids.Machine]*weighedMachine
 	hires    map[ids.Hire][]ids.Machine
 	next     int
 	orders   *Orders
@@ -33,8 +33,14 @@
 	broken bool
 }
 
+// weighedMachine is a machine and what emptying it takes.
+type weighedMachine struct {
+	Machine
+	Weight
+}
+
 func newFleet(machines int) *fleet {
-	f := &fleet{machines: map[ids.Machine]*Machine{}, hires: map[ids.Hire][]ids.Machine{}}
+	f := &fleet{machines: map[ids.Machine]*weighedMachine{}, hires: map[ids.Hire][]ids.Machine{}}
 	for range machines {
 		f.add([]string{"north", "south"}[f.next%2])
 	}
@@ -44,7 +50,7 @@
 func (f *fleet) add(zone string) ids.Machine {
 	f.next++
 	name := ids.Machine(fmt.Sprintf("host-%06d", f.next))
-	f.machines[name] = &Machine{Kind: Kind{Type: "small", Zone: zone}, Known: true, Up: true, Tasks: 1, Steps: 1}
+	f.machines[name] = &weighedMachine{Machine{Kind: Kind{Type: "small", Zone: zone}, Known: true, Up: true, Tasks: 1}, Weight{Steps: 1}}
 	return name
 }
 
@@ -52,10 +58,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if m := f.machines[name]; m != nil {
-		return *m
+		return m.Machine
 	}
 	return Machine{Gone: true}
 }
+func (f *fleet) Weigh(name ids.Machine) Weight {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.machines[name].Weight
+}
 func (f *fleet) Machines() (names []ids.Machine) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/rollout/preview.go
+++ b/internal/rollout/preview.go
@@ -46,10 +46,10 @@
 	preview := &Preview{Machines: names}
 	var candidates []candidate
 	for _, name := range names {
-		c := candidate{name: name, machine: fleet.Machine(name)}
+		c := candidate{name: name, machine: fleet.Machine(name), weight: fleet.Weigh(name)}
 		candidates = append(candidates, c)
-		if len(c.machine.Blocked) > 0 {
-			preview.Blocked = append(preview.Blocked, BlockedMachine{name, c.machine.Blocked})
+		if len(c.weight.Blocked) > 0 {
+			preview.Blocked = append(preview.Blocked, BlockedMachine{name, c.weight.Blocked})
 		}
 	}
 	for wave := range slices.Chunk(inOrder(candidates), max(1, spec.WaveSize)) {
@@ -71,7 +71,7 @@
 func waveTime(spec *Spec, wave []candidate, fleet Planner) (takes time.Duration) {
 	boot := time.Duration(0)
 	for _, c := range wave {
-		takes += time.Duration(c.machine.Steps) * fleet.StepTime()
+		takes += time.Duration(c.weight.Steps) * fleet.StepTime()
 		boot = max(boot, fleet.BootTime(c.machine.Kind))
 	}
 	if spec.Replace {
--- a/internal/rollout/runner.go
+++ b/internal/rollout/runner.go
@@ -207,7 +207,7 @@
 	text := fmt.Sprintf("%s, %d of %d machines through", r.State, r.Done, r.Total)
 	if r.Wave != nil {
 		text += fmt.Sprintf(", wave %d", r.Wave.Number)
-		for _, s := range []MachineState{Cordoned, Draining, Empty, Returned, Replaced, Verified} {
+		for _, s := range waveStates {
 			if n := r.Wave.count(s); n > 0 {
 				text += fmt.Sprintf(", %d %s", n, s)
 			}
--- a/internal/rollout/states.go
+++ b/internal/rollout/states.go
@@ -47,6 +47,13 @@
 	Verified MachineState = "verified"
 )
 
+// heldStates are those in which a rollout keeps a machine closed to new work, waveStates all that
+// the machines of a wave may have, in order.
+var (
+	heldStates = []MachineState{Cordoned, Draining, Empty}
+	waveStates = []MachineState{Cordoned, Draining, Empty, Returned, Replaced, Verified}
+)
+
 // machineMoves is the whole table of a machine's moves. A machine may be lost in any state, and
 // then counts as returned.
 var machineMoves = map[MachineState][]MachineState{
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -54,7 +54,7 @@
 		return s
 	}
 	s.Wave = r.Wave.Number
-	for _, state := range []MachineState{Cordoned, Draining, Empty, Returned, Replaced, Verified} {
+	for _, state := range waveStates {
 		for name := range r.in(state).All() {
 			s.Machines = append(s.Machines, MachineStatus{Name: name, State: state, Waits: append(r.waitsItself(state), waits[name]...)})
 		}
--- a/internal/rollout/waves.go
+++ b/internal/rollout/waves.go
@@ -12,6 +12,7 @@
 	name    ids.Machine
 	part    int
 	machine Machine
+	weight  Weight
 }
 
 // inOrder puts machines in the order in which waves take them, greedily: those on which nothing
@@ -20,8 +21,8 @@
 func inOrder(candidates []candidate) []candidate {
 	slices.SortFunc(candidates, func(x, y candidate) int {
 		return cmp.Or(
-			cmp.Compare(min(len(x.machine.Blocked), 1), min(len(y.machine.Blocked), 1)),
-			cmp.Compare(x.machine.Steps, y.machine.Steps),
+			cmp.Compare(min(len(x.weight.Blocked), 1), min(len(y.weight.Blocked), 1)),
+			cmp.Compare(x.weight.Steps, y.weight.Steps),
 			cmp.Compare(x.machine.Tasks, y.machine.Tasks),
 			cmp.Compare(x.name, y.name))
 	})
