A node with fewer shards than the store turns such machines' reports away instead of crashing

Cause: one of twelve full runs of internal/claim, four at a time, panicked: a report came to a controller set to two shards on a store laid out for three, before that had read the layout and was refused. Change: a machine of a shard that the settings do not name gets 503, as one that is not known yet.

--- a/internal/claim/shards.go
+++ b/internal/claim/shards.go
@@ -105,8 +105,10 @@
 		return s.pools[0].Heartbeat(ctx, rep)
 	}
 	owner, known := s.owners.of(rep.Machine)
-	if !known {
-		// Its hire is not answered yet, or nobody hired it: soon one shard surely owns it.
+	if !known || int(owner) >= len(s.pools) {
+		// Its hire is not answered yet, or nobody hired it: soon one shard surely owns it. Or the
+		// store is laid out for more shards than this node's settings name, which refuses the node
+		// once it has read that.
 		return nil, 503, worker.Redirect{}
 	}
 	return s.pools[owner].Heartbeat(ctx, rep)
