--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,17 +1,13 @@
-// Command 2 is the review case of a job about which no question is answered after a controller's crash,
-// because it awaits many jobs that have ended. See claim.txt.
+// Command 2 is the review case of a gang that never starts once lower limits of the state service are
+// announced. See claim.txt.
 package main
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/fake"
@@ -19,264 +15,207 @@
 )
 
 const (
-	sampleID = "job-000000001"
-	longID   = "job-000000002"
-	lastID   = "job-000000003"
-	// history is the number of jobs that have ended before: about ten days' at 14 a minute.
-	history = 200000
-	// awaited is the number of ended jobs that the last job of the pipeline awaits.
-	awaited = 215
-	seed    = 39
-	// restartDelay is how long an ended controller takes to be back.
-	restartDelay = 8 * time.Second
-	pollInterval = 5 * time.Second
-	// silence is the bound of the rule: every poll fails for that long while most others are answered.
-	silence = 90 * time.Second
-	crashAt = 12 * time.Second
-	// pollMargin is the longest time that a poll may take at the end.
-	pollMargin = 2 * time.Second
-	totalTime  = 112 * time.Second
+	gangID    = "job-000040"
+	gangTasks = 40
+	machines  = 14
+	// waitLimit is the bound of the page: no job is left waiting for 90 s while a machine that fits has room.
+	waitLimit = 90 * time.Second
+	totalTime = 116 * time.Second
 )
 
-// params are the settings of the parking deployment, from the teams on.
+// params are the settings of the kiosk deployment, from the teams on, without the machines' own table.
 const params = `[[params.teams]]
-name = "parkingdesk-00"
-cpus = 100.0
-cpus_max = 400.0
+name = "kioskops-00"
+cpus = 16.0
+cpus_max = 48.0
+gpus = 0.0
+gpus_max = 0.0
+[[params.teams]]
+name = "kioskops-01"
+cpus = 16.0
+cpus_max = 48.0
+gpus = 0.0
+gpus_max = 0.0
+[[params.teams]]
+name = "kioskops-02"
+cpus = 16.0
+cpus_max = 48.0
 gpus = 0.0
 gpus_max = 0.0
 [params.workers]
-report_s = 1.5
-lease_s = 10.0
-gang_wait_s = 45.0
-gang_peer_s = 5.0
-cancel_s = 35.0
+report_s = 3.0
+lease_s = 45.0
+gang_wait_s = 35.0
+gang_peer_s = 6.0
+cancel_s = 65.0
 [params.cloud]
-rps = 3.0
-list_lag_s = 10.0
+rps = 5.0
+list_lag_s = 5.0
 [params.machine_limits]
-cores = 0.144
-ram_mb = 98.0
-max_sockets = 900
+cores = 0.48
+ram_mb = 234.0
+max_sockets = 5000
+`
+
+// next announces the lower limits of the kiosk deployment with pipelines.
+const next = `[params.state.next]
+rps = 200.0
+write_rps = 35.0
+value_kb = 2.0
+txn_ops = 4
 `
 
-// pageReads counts the pages of final records that the controllers read.
-var pageReads atomic.Int64
+// gangRun makes the tasks of the gang wait for one another, run together and be done together.
+type gangRun struct {
+	mu      sync.Mutex
+	workers map[string]*fake.Worker
+	began   bool
+}
+
+func (g *gangRun) event(rec *harness.Recorder, event fake.Event) {
+	what := "ended: " + event.Cause
+	if event.Start {
+		what = "started"
+	}
+	rec.Printf("%s: %s#%d %s", event.Worker.Name, event.Task, event.Attempt, what)
+	if harness.JobOf(event.Task) != gangID {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !event.Start {
+		delete(g.workers, event.Task)
+		return
+	}
+	g.workers[event.Task] = event.Worker
+	go event.Worker.SetTaskStatus(event.Task, "waiting")
+	if len(g.workers) == gangTasks && !g.began {
+		g.began = true
+		go g.runAll()
+	}
+}
+
+func (g *gangRun) runAll() {
+	time.Sleep(time.Second)
+	g.mu.Lock()
+	workers := map[string]*fake.Worker{}
+	for task, worker := range g.workers {
+		workers[task] = worker
+	}
+	g.mu.Unlock()
+	for task, worker := range workers {
+		worker.SetTaskStatus(task, "running")
+	}
+	time.Sleep(10 * time.Second)
+	for task, worker := range workers {
+		worker.EndTask(task, "done")
+	}
+}
 
 func main() { os.Exit(run()) }
 
 func run() int {
 	folder, root := os.Args[1], os.Args[2]
+	trouble := os.Getenv("TROUBLE") != "0"
 	rec, err := harness.NewRecorder(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		return harness.ExitNoRun
 	}
 	defer rec.Close()
+	gang := &gangRun{workers: map[string]*fake.Worker{}}
 	cloud := &harness.Cloud{
-		Types: []harness.MachineType{{Label: "springbok", Cores: 8, RAMGB: 64, LocalGB: 60, PullGBPerS: 0.3, Price: 0.57, MarketPrice: 0.17,
-			BootS: 25, Zones: []string{"kleinwindhoek", "khomasdal"}}},
-		Boot: 20 * time.Second, ListLag: 10 * time.Second, Report: 1500 * time.Millisecond, Lease: 10 * time.Second, Capacity: map[string]int{"springbok": 4},
-		OnEvent: func(event fake.Event) {
-			rec.Printf("%s: %s#%d start=%t %s", event.Worker.Name, event.Task, event.Attempt, event.Start, event.Cause)
-			if event.Start && harness.JobOf(event.Task) == sampleID {
-				time.AfterFunc(time.Second, func() { event.Worker.EndTask(event.Task, "done") })
-			}
-		},
-	}
-	cluster, err := harness.NewCluster(rec, harness.Options{Root: root, Controllers: 3, Zones: []string{"kleinwindhoek", "khomasdal"},
-		ControllerZones: []string{"kleinwindhoek", "khomasdal"}, Params: params, InitialSize: 2, Cloud: cloud,
-		State: harness.StoreLimits{RPS: 100, WriteRPS: 30, ValueKB: 16, TxnOps: 24}})
+		Types: []harness.MachineType{{Label: "croft", Cores: 8, RAMGB: 32, LocalGB: 60, PullGBPerS: 0.2, Price: 0.36, MarketPrice: 0.12,
+			BootS: 30, Zones: []string{"leith", "govan", "dundee", "inverness"}}},
+		Boot: 25 * time.Second, ListLag: 5 * time.Second, Report: 3 * time.Second, Lease: 45 * time.Second,
+		OnEvent: func(event fake.Event) { gang.event(rec, event) },
+	}
+	settings := params
+	if trouble {
+		settings += next
+	}
+	cluster, err := harness.NewCluster(rec, harness.Options{Root: root, Controllers: 3, Zones: []string{"leith", "govan", "dundee", "inverness"},
+		ControllerZones: []string{"leith", "govan", "dundee"}, Params: settings, InitialSize: machines, Cloud: cloud,
+		State: harness.StoreLimits{RPS: 200, WriteRPS: 50, ValueKB: 8, TxnOps: 12}})
 	if err != nil {
 		rec.Printf("could not run: %v", err)
 		return harness.ExitNoRun
 	}
 	defer cluster.Close()
-	cluster.Store.Seen = func(r *http.Request, status int) {
-		if r.URL.Query().Get("under") == "end/" && status == http.StatusOK {
-			pageReads.Add(1)
-		}
-	}
-	code, why := (&play{rec: rec, cluster: cluster, trouble: os.Getenv("TROUBLE") != "0"}).run()
+	code, why := play(rec, cluster, trouble)
 	rec.Printf("exit code %d: %s", code, why)
 	fmt.Println(why)
 	return code
 }
 
-// play is one run of the case.
-type play struct {
-	rec     *harness.Recorder
-	cluster *harness.Cluster
-	trouble bool
-	names   []string // of the jobs that ended before
-
-	mu    sync.Mutex
-	users []*harness.User // those with an open connection
-}
-
-func (p *play) run() (code int, why string) {
-	for range 2 {
-		p.cluster.Cloud.AddRunning("springbok", "khomasdal")
+// play submits the jobs and watches the gang. It returns the exit code with its reason.
+func play(rec *harness.Recorder, cluster *harness.Cluster, trouble bool) (code int, why string) {
+	for i := range machines {
+		cluster.Cloud.AddRunning("croft", []string{"leith", "govan", "dundee"}[i%3])
 	}
-	if err := p.cluster.StartAll(15 * time.Second); err != nil {
+	if err := cluster.StartAll(20 * time.Second); err != nil {
 		return harness.ExitNoRun, err.Error()
 	}
-	leader := p.awaitLeader()
-	if leader == nil {
-		return harness.ExitNoRun, "no controller leads"
-	}
-	var others []*harness.Controller
-	for _, controller := range p.cluster.Controllers {
-		if controller != leader {
-			others = append(others, controller)
+	user := harness.NewUser(rec, "user")
+	user.ConnectTo(cluster.Controllers[0])
+	// One replica of five cores on each machine keeps the machines in use, and three cores of each free.
+	for i, team := range []string{"kioskops-00", "kioskops-02"} {
+		service := &harness.Job{ID: fmt.Sprintf("job-%06d", i+1), Class: "ratefeed", Team: team, Shape: "standing", Priority: "critical",
+			Tasks: machines / 2, Cores: 5, RAMGB: 3.4, Image: "img-1", ImageGB: 0.1}
+		if answer := user.SubmitUntilAccepted(service); answer.Status != 201 {
+			return harness.ExitNoRun, "a service was not accepted"
 		}
 	}
-	user := p.connect("user of the pipeline", leader)
-	if why := p.submitAll(user); why != "" {
-		return harness.ExitNoRun, why
-	}
-	answered, asked := p.askAboutOthers(others)
-	p.rec.Printf("the pipeline's user is at %s, the leader", leader.Name)
-	if p.trouble {
-		go func() {
-			time.Sleep(crashAt - p.rec.Elapsed())
-			p.cluster.Kill(leader)
-			time.Sleep(restartDelay)
-			if err := p.cluster.Start(leader); err != nil {
-				p.rec.Printf("not started again: %v", err)
-			}
-		}()
-	}
-	return p.ask(user, answered, asked)
-}
-
-func (p *play) awaitLeader() *harness.Controller {
-	for p.rec.Elapsed() < 10*time.Second {
-		if leader := p.cluster.Leader(); leader != nil {
-			return leader
+	for len(roomyMachines(cluster)) < machines {
+		if rec.Elapsed() > 20*time.Second {
+			return harness.ExitNoRun, "the services did not start"
 		}
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
 	}
-	return nil
-}
-
-// connect opens a user's connection to a given controller, before which the load balancer has chosen it.
-func (p *play) connect(name string, node *harness.Controller) *harness.User {
-	user := harness.NewUser(p.rec, name)
-	user.ConnectTo(node)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.users = append(p.users, user)
-	return user
-}
-
-// reconnect opens a new connection as the load balancer does: to the healthy controller with the fewest open
-// connections of users.
-func (p *play) reconnect(user *harness.User) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var best *harness.Controller
-	fewest := 0
-	for _, controller := range p.cluster.Controllers {
-		open := 0
-		for _, other := range p.users {
-			if other != user && other.Node() == controller {
-				open++
-			}
-		}
-		if (best == nil || open < fewest) && p.cluster.Ready(controller) {
-			best, fewest = controller, open
-		}
+	job := &harness.Job{ID: gangID, Class: "floatplan", Team: "kioskops-01", Shape: "gang", Priority: "normal", Tasks: gangTasks, Cores: 1, RAMGB: 1,
+		Image: "img-2", ImageGB: 0.1, EstimateS: 10}
+	if answer := user.SubmitUntilAccepted(job); answer.Status != 201 {
+		return harness.ExitNoRun, "the gang was not accepted"
 	}
-	if best != nil {
-		user.ConnectTo(best)
-		p.rec.Printf("the load balancer connects a user to %s", best.Name)
+	if trouble {
+		cluster.Store.SetLimits(harness.StoreLimits{RPS: 200, WriteRPS: 35, ValueKB: 2, TxnOps: 4})
+		rec.Printf("the state service has its lower limits now")
 	}
+	return watch(rec, cluster, user)
 }
 
-// submitAll runs a sample job, adds the jobs of the past as copies of its final record, and submits a long job
-// and the last job of the pipeline.
-func (p *play) submitAll(user *harness.User) (problem string) {
-	job := harness.Job{ID: sampleID, Class: "meterread", Team: "parkingdesk-00", Shape: "array", Priority: "normal", Tasks: 3, Cores: 1, RAMGB: 1,
-		Image: "img-1", ImageGB: 0.1, EstimateS: 40}
-	if answer := user.SubmitUntilAccepted(&job); answer.Status != 201 {
-		return "the sample job was not accepted"
-	}
-	var final json.RawMessage
-	for final == nil {
-		if p.rec.Elapsed() > 15*time.Second {
-			return "the sample job did not end"
+// roomyMachines returns the machines with a replica and three free cores.
+func roomyMachines(cluster *harness.Cluster) (names []string) {
+	for _, host := range cluster.Cloud.Hosts() {
+		if host.Up && len(host.Tasks) == 1 {
+			names = append(names, host.Name)
 		}
-		time.Sleep(100 * time.Millisecond)
-		final = p.cluster.Store.Value("end/" + sampleID)
-	}
-	p.rec.Printf("final record of the sample job, %d bytes: %s", len(final), final)
-	rng, values := rand.New(rand.NewPCG(seed, seed)), map[string]json.RawMessage{}
-	for range history {
-		name := fmt.Sprintf("job-%09d", 100000000+rng.IntN(900000000))
-		values["end/"+name] = bytes.ReplaceAll(final, []byte(sampleID), []byte(name))
-		p.names = append(p.names, name)
-	}
-	p.cluster.Store.Preload(values)
-	p.rec.Printf("%d jobs have ended before, with such records", len(values))
-	job.ID, job.Tasks, job.EstimateS = longID, 2, 600
-	if answer := user.SubmitUntilAccepted(&job); answer.Status != 201 {
-		return "the long job was not accepted"
-	}
-	job.ID, job.Awaits = lastID, append([]string{longID}, p.names[:awaited]...)
-	if answer := user.SubmitUntilAccepted(&job); answer.Status != 201 {
-		return "the last job was not accepted"
 	}
-	p.rec.Printf("pages of final records read so far: %d", pageReads.Load())
-	return ""
+	return names
 }
 
-// askAboutOthers lets five users ask about other jobs, at the controllers given. It returns how many of their
-// questions were answered and asked so far.
-func (p *play) askAboutOthers(nodes []*harness.Controller) (answered, asked *atomic.Int64) {
-	answered, asked = &atomic.Int64{}, &atomic.Int64{}
-	for i := range 5 {
-		user, id := p.connect(fmt.Sprintf("user %d", i+1), nodes[i%len(nodes)]), []string{longID, sampleID, p.names[awaited+1]}[i%3]
-		go func() {
-			time.Sleep(time.Duration(i) * time.Second)
-			for {
-				asked.Add(1)
-				answer := user.Poll(id)
-				if answer.Status == 200 {
-					answered.Add(1)
-				}
-				if answer.Closed {
-					p.reconnect(user)
-				}
-				time.Sleep(pollInterval)
-			}
-		}()
-	}
-	return answered, asked
-}
-
-// ask polls the last job of the pipeline until the time is over or the rule is broken.
-func (p *play) ask(user *harness.User, answered, asked *atomic.Int64) (code int, why string) {
-	answeredAt := time.Now()
-	var answeredThen, askedThen int64
-	polls := 0
-	for p.rec.Elapsed() < totalTime-pollInterval-pollMargin {
-		before := pageReads.Load()
-		answer := user.Poll(lastID)
-		p.rec.Printf("pages of final records read during that poll: %d", pageReads.Load()-before)
-		if answer.Status == 200 {
-			answeredAt, answeredThen, askedThen, polls = time.Now(), answered.Load(), asked.Load(), 0
-		} else {
-			polls++
+// watch polls the gang until it is done, or has waited for longer than the limit while there was room for all
+// of its tasks without a break.
+func watch(rec *harness.Recorder, cluster *harness.Cluster, user *harness.User) (code int, why string) {
+	roomSince, lastPoll := time.Now(), time.Time{}
+	for rec.Elapsed() < totalTime {
+		hosts := cluster.Cloud.Hosts()
+		started := slices.ContainsFunc(hosts, func(host harness.Host) bool {
+			return slices.ContainsFunc(host.Tasks, func(task string) bool { return harness.JobOf(task) == gangID })
+		})
+		if started || len(roomyMachines(cluster))*3 < gangTasks {
+			roomSince = time.Now()
 		}
-		if answer.Closed {
-			p.reconnect(user)
+		if time.Since(lastPoll) > 5*time.Second {
+			lastPoll = time.Now()
+			if user.Poll(gangID).State == "done" {
+				return harness.ExitHeld, "the gang ran and is done"
+			}
+			rec.Printf("machines with three free cores: %d; room for the gang for %.0f s", len(roomyMachines(cluster)), time.Since(roomSince).Seconds())
 		}
-		othersAnswered, othersAsked := answered.Load()-answeredThen, asked.Load()-askedThen
-		if unanswered := time.Since(answeredAt); unanswered > silence && othersAnswered*2 > othersAsked {
-			return harness.ExitBroken, fmt.Sprintf("%s: none of %d polls was answered for %.0f s, while %d of %d polls for other jobs were",
-				lastID, polls, unanswered.Seconds(), othersAnswered, othersAsked)
+		if waited := time.Since(roomSince); waited > waitLimit {
+			return harness.ExitBroken, fmt.Sprintf("the gang has waited for %.0f s with room for all its tasks", waited.Seconds())
 		}
-		time.Sleep(pollInterval)
+		time.Sleep(250 * time.Millisecond)
 	}
-	return harness.ExitHeld, "every 90 s some poll for the job was answered"
+	return harness.ExitNoRun, "the time is over without a result"
 }
