--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -121,12 +122,8 @@
 func (c *Cluster) newController(name, zone string) (*Controller, error) {
 	controller := &Controller{Name: name, Zone: zone, settings: filepath.Join(c.Folder, name+".toml"), log: filepath.Join(c.Folder, name+".log")}
 	for _, address := range []*string{&controller.Users, &controller.Peers} {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		*address = listener.Addr().String()
-		if err := listener.Close(); err != nil {
+		var err error
+		if *address, err = freeAddress(); err != nil {
 			return nil, err
 		}
 	}
@@ -248,3 +245,25 @@
 	}
 	return nil
 }
+
+// The ports of the controllers lie below those that the system hands out, so that nothing else takes the port of
+// a controller while it is down.
+const (
+	firstPort = 20000
+	ports     = 12000
+	portTries = 100
+)
+
+// freeAddress returns a loopback address on which nothing listens.
+func freeAddress() (string, error) {
+	var lastErr error
+	for range portTries {
+		listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
+		if err != nil {
+			lastErr = err
+			continue
+		}
+		return listener.Addr().String(), listener.Close()
+	}
+	return "", lastErr
+}
