A gang waits only if its record, measured, does not fit into a value of the state service

What callers saw: a gang of 40 tasks stayed "pending" for ever beside machines with room for all of it, once state.next announced values of 2 KiB. With values of 8 KiB the same held from 175 tasks on, with no announcement.

Cause: gangBlockReason let a gang wait while its tasks outnumbered MaxAssignedTasks, which assumes 40 bytes for each assignment until assignments of the job were encoded once. Of a gang none is encoded before it starts, so the assumption was never corrected, and nothing else could end the wait.

On the old code the smallest gangs that wait have 34 tasks (2 KiB) and 175 (8 KiB), one more than the estimate allows each time; their records on 100 machines take 393 and 755 bytes. So neither the fall of the limits, nor the rate of changes, the quota, the search or the real size of the record is the cause.

Change: the machines are chosen first, and the record is encoded with the planned assignments. If it does not fit, the tasks are packed on as few machines as possible and it is measured again. The estimate only decides still whether a gang's record is measured before room is made for it. A gang whose record can't fit on any number of machines says so with the measured sizes; nothing is stopped, reserved or rented for it.

--- a/internal/clusterstate/operations.go
+++ b/internal/clusterstate/operations.go
@@ -38,6 +38,11 @@
 	o.cluster.markUrgent(job)
 }
 
+// RecordSize returns the least size in bytes of a job's record with planned assignments.
+func (o operations) RecordSize(job *workload.Job, planned []record.TaskAssignment) (int, error) {
+	return o.cluster.recordSize(job, planned)
+}
+
 // RecordRestarts records in a job's events which lost tasks were assigned again.
 func (o operations) RecordRestarts(job *workload.Job, assigned []*workload.Assignment) {
 	o.cluster.reconciler.RecordRestarts(job, assigned)
--- /dev/null
+++ b/internal/clusterstate/record_room_test.go
@@ -0,0 +1,195 @@
+package clusterstate
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/commit"
+	"github.com/pebbletrail/pebbletrail/internal/fake"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
+	"github.com/pebbletrail/pebbletrail/internal/state"
+	"github.com/pebbletrail/pebbletrail/internal/workload"
+)
+
+// recordBytes returns the size of a job's record with its present assignments and without what may be
+// left out to make room. The tests compare with it whatever the scheduler decides.
+func recordBytes(t *testing.T, cluster *State, job *workload.Job) int {
+	t.Helper()
+	stored := job.Record
+	stored.Generation, stored.Writer, stored.Seq = cluster.generation, cluster.writer, job.Version
+	stored.Assignments = workload.GroupAssignments(job.Assignments)
+	stored.Spec.DependsOn, stored.Events = nil, nil
+	raw, fits := stored.Encode(1 << 20)
+	if !fits {
+		t.Fatal("the record can't be encoded")
+	}
+	return len(raw)
+}
+
+// storedJobs are jobs whose records are in a store that enforces its limits.
+type storedJobs struct {
+	t         *testing.T
+	cluster   *State
+	store     *fake.Store
+	client    *state.Client
+	committer *commit.Committer
+}
+
+// newStoredJobs returns a store with the given limit on values, which the cluster state knows.
+func newStoredJobs(t *testing.T, cluster *State, valueKB float64) *storedJobs {
+	t.Helper()
+	_, store, client := newTestStore()
+	store.SetLimits(int(valueKB*1024), 4)
+	cluster.settings.Params.State.ValueKB, cluster.settings.Params.State.TxnOps = valueKB, 4
+	return &storedJobs{t: t, cluster: cluster, store: store, client: client, committer: newCommitter(cluster, client)}
+}
+
+// submit stores a job's record and passes it to the cluster state.
+func (s *storedJobs) submit(rec *record.Record) *workload.Job {
+	s.t.Helper()
+	raw, _ := rec.Encode(s.cluster.ValueLimit())
+	revision, err := s.client.Commit(context.Background(), state.Txn{Ops: []state.Op{{Put: record.JobKey(rec.Spec.ID), Value: raw}}}, state.Urgent)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.cluster.submit(ids.Revision(revision), rec, time.Now())
+	return s.cluster.jobs.Get(rec.Spec.ID)
+}
+
+// commit stores all changes that are due, and checks that none exceeds the limits of the store.
+func (s *storedJobs) commit() (groups int) {
+	s.t.Helper()
+	for s.committer.CommitGroup(context.Background()) {
+		if groups++; groups > 100 {
+			s.t.Fatal("there are always more changes to store")
+		}
+	}
+	if s.store.TooLarge > 0 {
+		s.t.Fatalf("%d writes exceeded the limits of the store", s.store.TooLarge)
+	}
+	return groups
+}
+
+// Regression: a gang waited forever beside machines with room for all its tasks, since its record was
+// estimated to be too large and the estimate of a job without assignments was never corrected.
+func TestGangStartsIfItsRecordFits(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		valueKB         float64
+		tasks, machines int
+	}{
+		{2, 40, 14},
+		{2, 100, 100},
+		{8, 300, 100},
+		{8, 600, 600},
+	} {
+		t.Run(fmt.Sprintf("%d tasks in %v KiB", c.tasks, c.valueKB), func(t *testing.T) {
+			now := time.Now()
+			cluster := newStateWithMachines(c.machines)
+			cores := 1.0
+			if c.tasks == c.machines {
+				cores = 4 // one task on each machine
+			}
+			stored := newStoredJobs(t, cluster, c.valueKB)
+			stored.submit(newGangRecord("job-1", "blue", record.Normal, c.tasks, cores))
+			cluster.Plan(now)
+			job := cluster.jobs.Get("job-1")
+			if len(job.Assignments) != c.tasks {
+				t.Fatalf("%d of %d tasks are assigned: %s", len(job.Assignments), c.tasks, job.PendingReason)
+			}
+			size := recordBytes(t, cluster, job)
+			t.Logf("the record of %d tasks on %d machines takes %d of %v bytes", c.tasks, c.machines, size, c.valueKB*1024)
+			stored.commit()
+			if job.StoredVersion < job.Version {
+				t.Errorf("the record of %d bytes is not stored", size)
+			}
+		})
+	}
+}
+
+// Guards against a decision by anything else than the size of the record: of gangs of all sizes around the
+// limit, on one task a machine, exactly those wait whose record does not fit.
+func TestGangWaitsOnlyIfItsRecordDoesNotFit(t *testing.T) {
+	t.Parallel()
+	const valueBytes, machines = 1024, 120
+	started := 0
+	for tasks := 1; tasks <= machines; tasks++ {
+		now := time.Now()
+		cluster := newStateWithMachines(machines)
+		cluster.settings.Params.State.ValueKB = valueBytes / 1024.0
+		cluster.submit(1, newGangRecord("job-1", "blue", record.High, tasks, 4), now)
+		cluster.Plan(now)
+		cluster.Plan(now)
+		job := cluster.jobs.Get("job-1")
+		if len(job.Assignments) == tasks {
+			if size := recordBytes(t, cluster, job); size > valueBytes {
+				t.Fatalf("a gang of %d tasks starts whose record takes %d bytes", tasks, size)
+			}
+			started = tasks
+			continue
+		}
+		// The record with the same machines under a larger limit.
+		cluster.settings.Params.State.ValueKB = 56
+		cluster.Plan(now)
+		if size := recordBytes(t, cluster, job); len(job.Assignments) != tasks || size <= valueBytes {
+			t.Fatalf("a gang of %d tasks waits whose record takes %d of %d bytes; %d assigned", tasks, size, valueBytes, len(job.Assignments))
+		}
+	}
+	if started == 0 || started == machines {
+		t.Errorf("the largest gang that starts has %d tasks: the limit is not tested", started)
+	}
+}
+
+// Guards against machines that are rented, reserved or cleared of other work for a gang that can't be stored
+// on any machines, and against a reason without the measured sizes.
+func TestGangThatCannotBeStoredDisturbsNothingAndSaysWhy(t *testing.T) {
+	t.Parallel()
+	now := time.Now()
+	cluster := newStateWithMachines(100)
+	cluster.settings.Params.State.ValueKB = 0.78
+	cluster.submit(1, newServiceRecord("job-2", "blue", record.Low, 4, 4), now)
+	cluster.Plan(now)
+	cluster.markAllStored()
+	cluster.submit(2, newGangRecord("job-1", "blue", record.High, 100, 4), now)
+	later := now.Add(workload.StarvationTime + time.Minute)
+	for range 3 {
+		cluster.Plan(later)
+	}
+	job := cluster.jobs.Get("job-1")
+	if len(job.Assignments) > 0 || !strings.Contains(job.PendingReason, "need at least 100 machines") || !strings.Contains(job.PendingReason, "holds 798") {
+		t.Errorf("%d assignments, pending reason %q", len(job.Assignments), job.PendingReason)
+	}
+	if stopped := cluster.countStopping("job-2"); stopped > 0 || !job.RecordFull() {
+		t.Errorf("%d tasks are stopped for it; its record is full: %v", stopped, job.RecordFull())
+	}
+	if demands := cluster.planner.Demands(later); len(demands) > 0 {
+		t.Errorf("machines are wanted for it: %+v", demands)
+	}
+}
+
+// Guards against a gang that waits although its record would fit if its tasks shared fewer machines: the best
+// machines by score are not always those.
+func TestGangIsPackedIfItsRecordFitsOnlyThen(t *testing.T) {
+	t.Parallel()
+	now := time.Now()
+	cluster := newStateWithMachines(150)
+	// Of 100 machines one core is free, which scores best; 50 are empty.
+	cluster.submit(1, newServiceRecord("job-2", "blue", record.Critical, 100, 3), now)
+	cluster.Plan(now)
+	cluster.markAllStored()
+	cluster.settings.Params.State.ValueKB = 0.75
+	cluster.submit(2, newGangRecord("job-1", "blue", record.Normal, 100, 1), now)
+	cluster.Plan(now)
+	job := cluster.jobs.Get("job-1")
+	machines := map[ids.Machine]bool{}
+	for _, assignment := range job.Assignments {
+		machines[assignment.Machine] = true
+	}
+	if len(job.Assignments) != 100 || len(machines) != 25 || recordBytes(t, cluster, job) > cluster.ValueLimit() {
+		t.Errorf("%d tasks on %d machines: %s", len(job.Assignments), len(machines), job.PendingReason)
+	}
+}
--- a/internal/clusterstate/store_changes.go
+++ b/internal/clusterstate/store_changes.go
@@ -93,8 +93,7 @@
 // a stored value.
 func (c *State) encodeChange(job *workload.Job) (change commit.Change, fits bool) {
 	change = commit.Change{Job: job, Version: job.Version, Terminal: job.Record.Status.IsTerminal()}
-	stored := job.Record
-	stored.Generation, stored.Writer, stored.Seq = c.generation, c.writer, job.Version
+	stored := c.nextRecord(job, job.Version)
 	encode := stored.EncodeFinal
 	if !change.Terminal {
 		stored.Assignments = workload.GroupAssignments(job.Assignments)
@@ -125,6 +124,22 @@
 	return change, true
 }
 
+// nextRecord returns a job's record, without its assignments, as this leader would write a version of it.
+func (c *State) nextRecord(job *workload.Job, version uint64) record.Record {
+	next := job.Record
+	next.Generation, next.Writer, next.Seq = c.generation, c.writer, version
+	return next
+}
+
+// recordSize returns the least size in bytes of a job's record once planned assignments are added to the
+// present ones.
+func (c *State) recordSize(job *workload.Job, planned []record.TaskAssignment) (int, error) {
+	next := c.nextRecord(job, job.Version+1)
+	next.Status = record.Claimed
+	next.Assignments = workload.GroupAssignments(job.Assignments, planned...)
+	return next.MinSize()
+}
+
 const (
 	// keptEvents is how many of a record's last events are kept when others are dropped for assignments.
 	keptEvents = 2
--- a/internal/provisioning/queue_demand.go
+++ b/internal/provisioning/queue_demand.go
@@ -58,7 +58,7 @@
 // will be free for the queued tasks within the horizon. It depends on the duration of the running tasks of
 // the same class and not only on that of the queued tasks.
 func (q *queuePlanner) unmetSlots(job *workload.Job, meanEstimates map[string]float64, now time.Time) (slots, reclaimable float64) {
-	if job.Failing() {
+	if job.Failing() || job.RecordFull() {
 		return 0, 0
 	}
 	spec := &job.Record.Spec
--- a/internal/record/encoding.go
+++ b/internal/record/encoding.go
@@ -33,6 +33,15 @@
 	}
 }
 
+// MinSize returns the size in bytes of the smallest encoding of the record: the one from which Encode has
+// removed everything that it may remove.
+func (r *Record) MinSize() (int, error) {
+	smallest := *r
+	smallest.Spec.DependsOn, smallest.Events = nil, nil
+	raw, err := json.Marshal(&smallest)
+	return len(raw), err
+}
+
 // EncodeFinal encodes the record of a job that has ended in at most limit bytes, without changing the
 // record itself. If the record does not fit, EncodeFinal omits older events first, then the names of
 // dependencies and the indexes of the done tasks, of which only the number is still needed. The last
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -17,6 +17,7 @@
 	cluster      Cluster
 	rng          *rand.Rand
 	reservations *Reservations
+	records      *recordRoom
 	admission    *admission
 	reserver     *machineReserver
 	preemptor    *preemptor
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -23,6 +23,12 @@
 		job.PendingReason = reason
 		return
 	}
+	fit, reason := a.records.gangFit(job, missing)
+	job.SetRecordFull(reason)
+	if fit == fitsNowhere {
+		job.PendingReason = reason
+		return
+	}
 	if a.admission.allowedByQuota(job, missing, pass.now) < missing {
 		pass.addQuotaDemand(job, missing)
 		job.PendingReason = a.admission.preemptForQuota(job, missing, pass.now)
@@ -30,12 +36,17 @@
 	}
 	request := spec.PlacementRequest()
 	search := a.newSearch(job, &request, pass)
-	nodes := search.bestNodesForGang(gangZones(job, a.Settings.Params.Zones), missing)
-	if nodes == nil {
+	nodes, reason := a.nodesForGang(job, search, missing)
+	switch {
+	case nodes != nil:
+		a.assignGangTasks(job, nodes, pass)
+	case reason != "":
+		job.PendingReason = reason
+	case fit == fitsPacked:
+		job.PendingReason = "not all tasks of the gang have room at once; its record holds them only if they share machines, so none is cleared for them"
+	default:
 		a.preemptOrReserveForGang(job, search, missing)
-		return
 	}
-	a.assignGangTasks(job, nodes, pass)
 }
 
 // gangBlockReason returns why a gang must not be assigned now even if machines have room, or an empty string
@@ -44,8 +55,6 @@
 	switch {
 	case job.BackingOff(now):
 		return job.BackOffReason()
-	case job.Record.Spec.Tasks > job.MaxAssignedTasks(a.valueBytes()):
-		return "its places do not fit into a record of the state service"
 	case !mayJoinAttempt(job, a.cluster.FencingToken()):
 		return "for the gang's last attempt to end"
 	}
@@ -87,9 +96,7 @@
 
 // assignGangTasks assigns a gang's unassigned tasks in order, one to each element of nodes.
 func (a *assigner) assignGangTasks(job *workload.Job, nodes []*capacity.Node, pass *planningPass) {
-	if len(job.Assignments) == 0 {
-		job.Record.Attempt++
-	}
+	job.Record.Attempt = gangAttempt(job)
 	assigned := 0
 	for i := range job.Record.Spec.Tasks {
 		if job.Assignments[i] == nil {
--- /dev/null
+++ b/internal/scheduler/gang_record.go
@@ -0,0 +1,139 @@
+package scheduler
+
+import (
+	"fmt"
+
+	"github.com/pebbletrail/pebbletrail/internal/capacity"
+	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
+	"github.com/pebbletrail/pebbletrail/internal/workload"
+)
+
+// gangFit is the result of measuring the record of a gang with all of its tasks assigned.
+type gangFit int
+
+const (
+	fitsAnywhere gangFit = iota // the record fits even if each unassigned task is on a machine of its own
+	fitsPacked                  // it fits only if unassigned tasks share machines
+	fitsNowhere                 // it does not fit even if they are on as few machines as the allowed types permit
+)
+
+// minEntryBytes is the least size of the stored assignments of one machine: a separator, the shortest name,
+// a colon and one task.
+const minEntryBytes = 4
+
+// gangFit returns how a gang's unassigned tasks must be placed so that its record fits into a value, and, if
+// that is impossible, the reason. A gang within the estimate is not measured here: that only decides whether
+// room is made for it, and its record is measured with the machines that are chosen.
+func (r *recordRoom) gangFit(job *workload.Job, missing int) (fit gangFit, reason string) {
+	if job.Record.Spec.Tasks <= job.MaxAssignedTasks(r.valueBytes()) {
+		return fitsAnywhere, ""
+	}
+	if _, fits := r.holdsSpreadOut(job, missing); fits {
+		return fitsAnywhere, ""
+	}
+	machines := r.fewestMachines(job, missing)
+	size, fits := machines*minEntryBytes, false
+	if size <= int(r.valueBytes()) {
+		size, fits = r.holds(job, r.packedOn(job, hypotheticalMachines(machines)))
+	}
+	if fits {
+		return fitsPacked, ""
+	}
+	return fitsNowhere, fmt.Sprintf("its record is too large: its %d tasks need at least %d machines, which take at least %d bytes there, and a value of the state service holds %d",
+		job.Record.Spec.Tasks, machines, size, int(r.valueBytes()))
+}
+
+// holdsSpreadOut reports whether a gang's record fits with each unassigned task on a machine of its own, as
+// far as the shard has that many machines.
+func (r *recordRoom) holdsSpreadOut(job *workload.Job, missing int) (size int, fits bool) {
+	if size := missing * minEntryBytes; len(r.Capacity.Nodes()) >= missing && size > int(r.valueBytes()) {
+		return size, false
+	}
+	names := make([]ids.Machine, 0, missing)
+	for name := range r.Capacity.Nodes() {
+		if len(names) == missing {
+			break
+		}
+		names = append(names, name)
+	}
+	if len(names) == 0 {
+		return 0, true // no machine is known yet
+	}
+	return r.holds(job, r.packedOn(job, names))
+}
+
+// fewestMachines returns the least number of machines that have room for a number of a job's tasks, if they
+// are of the allowed types.
+func (r *recordRoom) fewestMachines(job *workload.Job, tasks int) int {
+	request := job.Record.Spec.PlacementRequest()
+	perMachine := 1
+	for name, instanceType := range r.Capacity.Types() {
+		if request.Allows(name, request.Zone, false) || request.Allows(name, request.Zone, true) {
+			perMachine = max(perMachine, instanceType.Capacity().CountFitting(request.Resources, tasks))
+		}
+	}
+	return (tasks + perMachine - 1) / perMachine
+}
+
+// hypotheticalMachines returns the shortest names for a number of machines.
+func hypotheticalMachines(count int) []ids.Machine {
+	names := make([]ids.Machine, count)
+	for i := range names {
+		names[i] = ids.Machine(fmt.Sprint(i))
+	}
+	return names
+}
+
+// packedOn returns the assignments of a gang's unassigned tasks, distributed evenly over machines.
+func (r *recordRoom) packedOn(job *workload.Job, names []ids.Machine) []record.TaskAssignment {
+	missing := job.Record.Spec.Tasks - len(job.Assignments)
+	machines := make([]ids.Machine, missing)
+	for i := range machines {
+		machines[i] = names[i*len(names)/missing]
+	}
+	return r.gangPlan(job, machines)
+}
+
+// gangPlan returns the assignments of a gang's unassigned tasks, in order, one to each element of machines.
+func (r *recordRoom) gangPlan(job *workload.Job, machines []ids.Machine) []record.TaskAssignment {
+	attempt := gangAttempt(job)
+	plan := make([]record.TaskAssignment, 0, len(machines))
+	for i := range job.Record.Spec.Tasks {
+		if job.Assignments[i] == nil {
+			plan = append(plan, r.planned(i, attempt, machines[len(plan)]))
+		}
+	}
+	return plan
+}
+
+// nodesForGang returns nodes for a gang's unassigned tasks with which its record fits into a value: the best
+// ones or, if the record does not fit with those, as few as possible. It returns nil if there are none; then
+// reason is empty if that is for lack of room on the machines.
+func (a *assigner) nodesForGang(job *workload.Job, search *search, missing int) (nodes []*capacity.Node, reason string) {
+	zones := gangZones(job, a.Settings.Params.Zones)
+	size := 0
+	for _, find := range []func([]string, int) []*capacity.Node{search.bestNodesForGang, search.fewestNodesForGang} {
+		nodes := find(zones, missing)
+		if nodes == nil {
+			return nil, ""
+		}
+		machines := make([]ids.Machine, len(nodes))
+		for i, node := range nodes {
+			machines[i] = node.Name
+		}
+		var fits bool
+		if size, fits = a.records.holds(job, a.records.gangPlan(job, machines)); fits {
+			return nodes, ""
+		}
+	}
+	return nil, fmt.Sprintf("there is room only on so many machines that its record would take %d bytes, and a value of the state service holds %d", size, int(a.valueBytes()))
+}
+
+// gangAttempt returns the attempt to which a gang's next assignments belong.
+func gangAttempt(job *workload.Job) ids.Attempt {
+	if len(job.Assignments) == 0 {
+		return job.Record.Attempt + 1
+	}
+	return job.Record.Attempt
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -40,6 +40,9 @@
 	// MarkersPending is called after a pass has added assignments to a job. It requests that the
 	// assignments' markers are stored: no task is started before its marker is.
 	MarkersPending(job *workload.Job)
+	// RecordSize returns the least size in bytes of a job's record with planned assignments in addition to
+	// the present ones.
+	RecordSize(job *workload.Job, planned []record.TaskAssignment) (int, error)
 	// RecordRestarts adds an event to a job if lost tasks of the job were assigned again.
 	RecordRestarts(job *workload.Job, assigned []*workload.Assignment)
 	// Stop requests that a task is stopped, with a grace period in which the task may save a checkpoint.
@@ -92,6 +95,7 @@
 	reservations := newReservations()
 	reservedQuotas := quotaReservations{}
 	quotaPreemptor := &quotaPreemptor{State: shared, cluster: cluster, reservations: reservedQuotas}
+	records := &recordRoom{State: shared, cluster: cluster}
 	admission := &admission{State: shared, cluster: cluster, reservations: reservedQuotas, preemptor: quotaPreemptor}
 	reserver := &machineReserver{State: shared, cluster: cluster, reservations: reservations}
 	preemptor := &preemptor{State: shared, cluster: cluster, rng: rng, reservations: reservations}
@@ -104,7 +108,7 @@
 		quotaPreemptor: quotaPreemptor,
 		reserver:       reserver,
 		assigner: &assigner{State: shared, cluster: cluster, rng: rng, reservations: reservations,
-			admission: admission, reserver: reserver, preemptor: preemptor},
+			records: records, admission: admission, reserver: reserver, preemptor: preemptor},
 	}
 }
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -40,6 +40,12 @@
 	return placement.Resources{}
 }
 
+func (c *fakeCluster) RecordSize(job *workload.Job, planned []record.TaskAssignment) (int, error) {
+	rec := job.Record
+	rec.Assignments = workload.GroupAssignments(job.Assignments, planned...)
+	return rec.MinSize()
+}
+
 func (c *fakeCluster) Stop(assignment *workload.Assignment, grace ids.Seconds, _ string) {
 	assignment.Stopping, assignment.StopGrace = true, grace
 	c.stopped = append(c.stopped, assignment.Task().String())
--- a/internal/scheduler/search.go
+++ b/internal/scheduler/search.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -244,6 +245,34 @@
 	return best
 }
 
+// fewestNodesForGang is like bestNodesForGang, but chooses as few different nodes as possible, whatever their
+// scores.
+func (s *search) fewestNodesForGang(zones []string, n int) (fewest []*capacity.Node) {
+	if !s.allListed {
+		s.listCandidates()
+	}
+	slices.SortStableFunc(s.candidates, func(x, y candidate) int {
+		return cmp.Compare(s.countFitting(y.node, n), s.countFitting(x.node, n))
+	})
+	for _, zone := range zones {
+		if nodes, _ := s.nodesInZone(zone, n); nodes != nil && (fewest == nil || countDistinct(nodes) < countDistinct(fewest)) {
+			fewest = nodes
+		}
+	}
+	return fewest
+}
+
+// countFitting returns how many tasks of the job, at most n, a node has room for.
+func (s *search) countFitting(node *capacity.Node, n int) int {
+	if node.Class == nil {
+		return 0
+	}
+	return node.Free().CountFitting(s.request.Resources, n)
+}
+
+// countDistinct returns the number of different nodes in a list in which equal nodes are adjacent.
+func countDistinct(nodes []*capacity.Node) int { return len(slices.Compact(slices.Clone(nodes))) }
+
 // nodesInZone returns nodes for n tasks in one zone, or in all zones if zone is empty, and the sum of their
 // scores. It returns nil if there is not enough room. Machines on which tasks of the job failed are used
 // only if the others have too little room.
--- a/internal/workload/assignment.go
+++ b/internal/workload/assignment.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -150,14 +151,20 @@
 // SortedTasks returns the indices of assigned tasks, lowest first.
 func SortedTasks(assignments map[int]*Assignment) []int { return slices.Sorted(maps.Keys(assignments)) }
 
-// GroupAssignments returns a job's assignments in the form in which its record stores them.
-func GroupAssignments(assignments map[int]*Assignment) []record.AssignmentGroup {
-	list := make([]record.TaskAssignment, 0, len(assignments))
-	for _, i := range SortedTasks(assignments) {
-		assignment := assignments[i]
-		location := record.Location{Machine: assignment.Machine, Incarnation: assignment.Incarnation,
-			Attempt: assignment.Attempt, FencingToken: assignment.FencingToken}
-		list = append(list, record.TaskAssignment{Task: i, Location: location})
+// GroupAssignments returns a job's assignments, and further planned ones, in the form in which its record
+// stores them.
+func GroupAssignments(assignments map[int]*Assignment, planned ...record.TaskAssignment) []record.AssignmentGroup {
+	list := make([]record.TaskAssignment, 0, len(assignments)+len(planned))
+	for _, assignment := range assignments {
+		list = append(list, assignment.stored())
 	}
+	list = append(list, planned...)
+	slices.SortFunc(list, func(x, y record.TaskAssignment) int { return cmp.Compare(x.Task, y.Task) })
 	return record.GroupAssignments(list)
 }
+
+// stored returns the assignment as the job's record stores it.
+func (a *Assignment) stored() record.TaskAssignment {
+	location := record.Location{Machine: a.Machine, Incarnation: a.Incarnation, Attempt: a.Attempt, FencingToken: a.FencingToken}
+	return record.TaskAssignment{Task: a.TaskIndex, Location: location}
+}
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -49,6 +49,8 @@
 	// MaxAssigned bounds the number of tasks that are assigned at a time, after a record of the job was too
 	// large to be stored; 0: no bound.
 	MaxAssigned int
+	// Room is what was last measured of the room for assignments in the record.
+	Room RecordRoom
 	// Oversize is set if the record was too large to be stored when it was last encoded, and
 	// OversizeVersion is the version that was encoded then.
 	Oversize        bool
--- a/internal/workload/record_size.go
+++ b/internal/workload/record_size.go
@@ -66,6 +66,23 @@
 	return max(minAssigned, tasks)
 }
 
+// RecordRoom is what was measured of the room for assignments in a job's record.
+type RecordRoom struct {
+	Full     bool   // the record had no room for another assignment
+	Assigned int    // how many tasks were assigned when that was measured
+	Reason   string // the measured sizes, for users; set if Full is
+}
+
+// RecordFull reports whether the job's record has no room for another assignment. A record that was full
+// counts as full until it was measured again, or until it has fewer assignments.
+func (j *Job) RecordFull() bool { return j.Room.Full && len(j.Assignments) >= j.Room.Assigned }
+
+// SetRecordFull records that the job's record, as it is now, has no room for another assignment, with the
+// reason for users; an empty reason records that it has room.
+func (j *Job) SetRecordFull(reason string) {
+	j.Room = RecordRoom{Full: reason != "", Assigned: len(j.Assignments), Reason: reason}
+}
+
 // descriptionSize returns the approximate size in bytes of a job's record before any task is assigned. The
 // description is encoded to determine its size, because an assumed size would waste space if the maximum size
 // of a value is small.
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -74,6 +74,30 @@
 	}
 }
 
+func TestRecordIsFullUntilItIsMeasuredAgainOrShrinks(t *testing.T) {
+	// Guards against a bound that outlives what was measured: fewer tasks were assigned forever.
+	job := testJob("a", 0)
+	for task := range 3 {
+		job.Assignments[task] = &Assignment{Job: job, TaskIndex: task}
+	}
+	if job.RecordFull() {
+		t.Error("a record that was never measured is full")
+	}
+	job.SetRecordFull("no room")
+	if !job.RecordFull() || job.Room.Reason != "no room" {
+		t.Errorf("full: %v, reason %q", job.RecordFull(), job.Room.Reason)
+	}
+	delete(job.Assignments, 2)
+	if job.RecordFull() {
+		t.Error("the record is full although it has fewer assignments")
+	}
+	job.SetRecordFull("no room")
+	job.SetRecordFull("")
+	if job.RecordFull() {
+		t.Error("the record is full although it was measured again")
+	}
+}
+
 func TestSimilarLossesShareAnEventLine(t *testing.T) {
 	var losses LossHistory
 	lastLine := "accepted"
