A service gets every replica that its record holds; what it can't hold is measured

What callers saw: of a service with many replicas some never started, though machines had room and the record too: 147 of 300 in values of 2 KiB, with 1,460 bytes used, and 664 of 1,200 in 8 KiB, with 5,879 used.

Cause: the same estimate bounds services. It leaves room for ranges of tasks to break up as tasks finish, and counts on assigned tasks to end. Those of a service neither finish nor end, so the replicas beyond it waited until the service was cancelled.

Arrays keep the estimate: their tasks end.

TestServiceGetsAllReplicasThatItsRecordHolds failed before as above; now 180 of 180 and 208 of 300 (2 KiB, 2,042 bytes) and 800 of 800 and 894 of 1,200 (8 KiB, 8,188 bytes) are assigned.

--- a/internal/clusterstate/record_room_test.go
+++ b/internal/clusterstate/record_room_test.go
@@ -193,3 +193,40 @@
 		t.Errorf("%d tasks on %d machines: %s", len(job.Assignments), len(machines), job.PendingReason)
 	}
 }
+
+// Regression: replicas beyond the estimate never started, since those that run never end.
+func TestServiceGetsAllReplicasThatItsRecordHolds(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		valueKB  float64
+		replicas int
+		all      bool
+	}{
+		{valueKB: 2, replicas: 180, all: true},
+		{valueKB: 2, replicas: 300},
+		{valueKB: 8, replicas: 800, all: true},
+		{valueKB: 8, replicas: 1200},
+	} {
+		t.Run(fmt.Sprintf("%d replicas in %v KiB", c.replicas, c.valueKB), func(t *testing.T) {
+			cluster := newStateWithMachines(1200)
+			stored := newStoredJobs(t, cluster, c.valueKB)
+			job := stored.submit(newServiceRecord("job-1", "blue", record.Normal, c.replicas, 4))
+			for range 100 {
+				cluster.Plan(time.Now())
+				stored.commit()
+			}
+			size := recordBytes(t, cluster, job)
+			t.Logf("%d of %d replicas are assigned, in %d bytes", len(job.Assignments), c.replicas, size)
+			if c.all != (len(job.Assignments) == c.replicas) {
+				t.Fatalf("%d of %d replicas are assigned: %s", len(job.Assignments), c.replicas, job.PendingReason)
+			}
+			const entryBytes = 12 // more than one more replica takes
+			if !c.all && (size+entryBytes <= cluster.ValueLimit() || !strings.Contains(job.PendingReason, "record is full")) {
+				t.Errorf("replicas wait though the record takes %d of %d bytes: %s", size, cluster.ValueLimit(), job.PendingReason)
+			}
+			if demands := cluster.planner.Demands(time.Now()); len(demands) > 0 {
+				t.Errorf("machines are wanted for replicas that can't be stored: %+v", demands)
+			}
+		})
+	}
+}
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -13,15 +13,16 @@
 type admission struct {
 	*State
 	cluster      Cluster
+	records      *recordRoom
 	reservations quotaReservations
 	preemptor    *quotaPreemptor
 }
 
-// limit returns how many of a job's unassigned tasks may be assigned now. If the quota or the size of
-// the record allows none, reason explains it.
-func (a *admission) limit(job *workload.Job, unassigned int, pass *planningPass) (limit int, reason string) {
+// limit returns how many of a job's unassigned tasks may be assigned now, the last ones only if the record
+// still fits. If the quota or the estimated size of the record allows none, reason explains it.
+func (a *admission) limit(job *workload.Job, unassigned int, allowance recordAllowance, pass *planningPass) (limit int, reason string) {
 	quotaLimit := a.allowedByQuota(job, unassigned, pass.now)
-	recordLimit := job.MaxAssignedTasks(a.valueBytes()) - len(job.Assignments)
+	recordLimit := allowance.total()
 	limit = min(unassigned, quotaLimit, recordLimit)
 	if job.Failing() {
 		limit = min(limit, 1)
@@ -29,6 +30,8 @@
 	switch {
 	case recordLimit <= 0:
 		reason = "as many of its tasks are under way as a record of the state service holds"
+	case quotaLimit <= 0 && job.RecordFull():
+		reason = job.Room.Reason
 	case quotaLimit <= 0:
 		pass.addQuotaDemand(job, min(unassigned, recordLimit))
 		reason = a.preemptForQuota(job, unassigned, pass.now)
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -38,8 +38,9 @@
 		job.PendingReason = job.BackOffReason()
 		return
 	}
-	limit, reason := a.admission.limit(job, unassigned, pass)
-	assigned, stopReason := a.assignTasks(job, limit, pass)
+	allowance := a.records.allowance(job)
+	limit, reason := a.admission.limit(job, unassigned, allowance, pass)
+	assigned, stopReason := a.assignTasks(job, limit, allowance.estimated, pass)
 	if stopReason != "" {
 		reason = stopReason
 	}
@@ -51,9 +52,10 @@
 	}
 }
 
-// assignTasks assigns up to limit tasks of an array or a service, lowest index first. reason explains
-// why tasks were skipped; it is empty if none were.
-func (a *assigner) assignTasks(job *workload.Job, limit int, pass *planningPass) (assigned int, reason string) {
+// assignTasks assigns up to limit tasks of an array or a service, lowest index first. Before each task
+// beyond the first estimated ones, it measures whether the record has room. reason explains why tasks were
+// skipped; it is empty if none were.
+func (a *assigner) assignTasks(job *workload.Job, limit, estimated int, pass *planningPass) (assigned int, reason string) {
 	spec := &job.Record.Spec
 	request := spec.PlacementRequest()
 	search := a.newSearch(job, &request, pass)
@@ -77,9 +79,15 @@
 			}
 			break
 		}
+		attempt := job.Record.Attempt
 		if assigned == 0 && !job.ContinuesSlice(i) {
-			job.Record.Attempt++
+			attempt++
 		}
+		if assigned >= estimated && !a.records.holdsTask(job, i, attempt, node) {
+			reason = job.Room.Reason
+			break
+		}
+		job.Record.Attempt = attempt
 		job.LastSlice = workload.ArraySlice{Attempt: job.Record.Attempt, LastTask: i}
 		a.assignTask(job, i, node, pass.now)
 		search.zones.Add(a.Machines.Machines[node.Name].Zone)
@@ -93,6 +101,12 @@
 // a task that failed before avoids machines to which other tasks of the job may still be assigned.
 func (a *assigner) findNode(job *workload.Job, retry *workload.Retry, search *search) (node *capacity.Node, reason string, tryNext bool) {
 	node = search.pickNode(retry)
+	if job.RecordFull() {
+		if node == nil {
+			reason = job.Room.Reason // nothing is stopped for a task for which the record has no room
+		}
+		return node, reason, false
+	}
 	if node == nil {
 		return nil, a.preemptOrReserve(job, search), retry != nil
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -96,7 +96,7 @@
 	reservedQuotas := quotaReservations{}
 	quotaPreemptor := &quotaPreemptor{State: shared, cluster: cluster, reservations: reservedQuotas}
 	records := &recordRoom{State: shared, cluster: cluster}
-	admission := &admission{State: shared, cluster: cluster, reservations: reservedQuotas, preemptor: quotaPreemptor}
+	admission := &admission{State: shared, cluster: cluster, records: records, reservations: reservedQuotas, preemptor: quotaPreemptor}
 	reserver := &machineReserver{State: shared, cluster: cluster, reservations: reservations}
 	preemptor := &preemptor{State: shared, cluster: cluster, rng: rng, reservations: reservations}
 	return &Scheduler{
