A record that was too large once no longer bounds its job's assigned tasks for ever

An array whose finished tasks leave room for one to three assignments never went on at all.

Cause: handleOversize set MaxAssigned to half, and nothing raised it again. Beside it, four tasks were always assigned, whatever the record: if it holds fewer, they were removed before their starts, and assigned again, endlessly.

Change: MaxAssigned is gone. After a record that did not fit, each further assignment of the job is measured before it is made. If the record can't hold a single one, and none is left, finished tasks that are scattered are dropped from it, as before, now also when that shows while planning.

--- a/internal/clusterstate/limits.go
+++ b/internal/clusterstate/limits.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/pebbletrail/pebbletrail/internal/config"
 	"github.com/pebbletrail/pebbletrail/internal/quota"
-	"github.com/pebbletrail/pebbletrail/internal/workload"
 )
 
 // teamLimits returns the limits in the settings by team.
@@ -17,9 +16,3 @@
 
 // valueLimit returns the size limit of a stored value, in whole bytes.
 func valueLimit(settings *config.Settings) int { return int(settings.Params.State.ValueBytes()) }
-
-// maxAssignedTasks returns how many tasks of a job may be assigned at a time, so that its record fits a
-// stored value.
-func (c *State) maxAssignedTasks(job *workload.Job) int {
-	return job.MaxAssignedTasks(c.settings.Params.State.ValueBytes())
-}
--- a/internal/clusterstate/operations.go
+++ b/internal/clusterstate/operations.go
@@ -43,6 +43,9 @@
 	return o.cluster.recordSize(job, planned)
 }
 
+// ShrinkRecord makes room in a record that can't hold a single assignment.
+func (o operations) ShrinkRecord(job *workload.Job) { o.cluster.dropScatteredFinishedTasks(job) }
+
 // RecordRestarts records in a job's events which lost tasks were assigned again.
 func (o operations) RecordRestarts(job *workload.Job, assigned []*workload.Assignment) {
 	o.cluster.reconciler.RecordRestarts(job, assigned)
--- a/internal/clusterstate/oversize.go
+++ b/internal/clusterstate/oversize.go
@@ -7,11 +7,10 @@
 )
 
 // handleOversize handles a job whose record does not fit a stored value: an older version wrote it under a
-// larger limit, or it has more assignments than the size estimate allowed for. Assignments whose starts
-// were not sent are removed, since no task may start without a stored assignment and they must not hold
-// capacity forever. From then on fewer tasks of the job are assigned at a time. Assignments of tasks that
-// may be on machines stay: the record becomes smaller as they end, and is not encoded again before it has
-// changed.
+// larger limit, or its assignments are larger than estimated. Assignments whose starts were not sent are
+// removed, since no task may start without a stored assignment and they must not hold capacity forever. From
+// then on the record is measured before tasks of the job are assigned. Assignments of tasks that may be on
+// machines stay: the record becomes smaller as they end, and is not encoded again before it has changed.
 func (c *State) handleOversize(job *workload.Job) {
 	if !job.Oversize {
 		slog.Warn("job record too large to store; assigning fewer tasks of the job at a time", "job", job.Record.Spec.ID, "places", len(job.Assignments))
@@ -20,8 +19,8 @@
 	job.PendingReason = "its places do not fit into a record of the state service"
 	job.OversizeVersion = job.Version
 	hadAtMostOne := len(job.Assignments) <= 1
-	if assigned := min(len(job.Assignments), c.maxAssignedTasks(job)); c.removeUnsentAssignments(job) {
-		job.MaxAssigned = max(1, assigned/2)
+	if c.removeUnsentAssignments(job) {
+		job.EstimateTooLow = true
 		c.markChanged(job)
 	}
 	if hadAtMostOne && len(job.Assignments) == 0 {
@@ -60,7 +59,8 @@
 			break
 		}
 	}
-	job.MaxAssigned = 0
+	job.EstimateTooLow = false
+	job.SetRecordFull("")
 	c.recordEvent(job, "some finished tasks are asked for again: which ones were done does not fit into its record")
 	c.markChanged(job)
 }
--- a/internal/clusterstate/record_room_test.go
+++ b/internal/clusterstate/record_room_test.go
@@ -74,6 +74,14 @@
 	return groups
 }
 
+// limitEstimate lowers the limit on values so far that a number of a job's tasks may be assigned by the
+// estimate.
+func limitEstimate(cluster *State, job *workload.Job, tasks int) {
+	for bytes := 100.0; job.EstimatedMaxAssigned(bytes) <= tasks; bytes++ {
+		cluster.settings.Params.State.ValueKB = bytes / 1024
+	}
+}
+
 // Regression: a gang waited forever beside machines with room for all its tasks, since its record was
 // estimated to be too large and the estimate of a job without assignments was never corrected.
 func TestGangStartsIfItsRecordFits(t *testing.T) {
@@ -230,3 +238,64 @@
 		})
 	}
 }
+
+// Regression: after one record that did not fit, at most half as many tasks were assigned at a time, forever.
+// A service or a gang that needs them all got no replacements and no start any more.
+func TestJobsRecoverAfterARecordThatDidNotFit(t *testing.T) {
+	t.Parallel()
+	for name, newJob := range map[string]func(ids.Job, string, record.Priority, int, float64) *record.Record{
+		"array": newRecord, "gang": newGangRecord, "service": newServiceRecord,
+	} {
+		t.Run(name, func(t *testing.T) {
+			cluster := newStateWithMachines(60)
+			stored := newStoredJobs(t, cluster, 8)
+			job := stored.submit(newJob("job-1", "blue", record.Normal, 60, 4))
+			cluster.Plan(time.Now())
+			if len(job.Assignments) != 60 {
+				t.Fatalf("%d of 60 tasks are assigned", len(job.Assignments))
+			}
+			// The limit is too low for a moment, as when evictions fill the record until their tasks run again.
+			cluster.settings.Params.State.ValueKB = 0.6
+			stored.commit()
+			if len(job.Assignments) != 0 || !job.Oversize {
+				t.Fatalf("%d assignments that were not stored are left", len(job.Assignments))
+			}
+			cluster.settings.Params.State.ValueKB = 8
+			for range 10 {
+				cluster.Plan(time.Now())
+				stored.commit()
+			}
+			if len(job.Assignments) != 60 || job.StoredVersion < job.Version {
+				t.Errorf("%d of 60 tasks are assigned: %s", len(job.Assignments), job.PendingReason)
+			}
+		})
+	}
+}
+
+// Regression: an array whose finished tasks leave room for one to three assignments never went on. Four were
+// assigned whatever the size of the record, which then did not fit, so they were removed again, endlessly.
+func TestArrayGoesOnInARecordWithLittleRoom(t *testing.T) {
+	t.Parallel()
+	const tasks = 400
+	for room := 0; room <= 130; room += 5 {
+		cluster := newStateWithMachines(20)
+		rec := newRecord("job-1", "blue", record.Normal, tasks, 4)
+		for task := 0; task < tasks; task += 2 {
+			rec.Finished.Add(task)
+		}
+		probe := &workload.Job{Record: *rec}
+		stored := newStoredJobs(t, cluster, float64(recordBytes(t, cluster, probe)+20+room)/1024)
+		job := stored.submit(rec)
+		writes := 0
+		for range 20 {
+			cluster.Plan(time.Now())
+			writes += stored.commit()
+		}
+		if len(job.Assignments) == 0 || job.StoredVersion < job.Version {
+			t.Errorf("room for %d bytes: %d tasks are assigned after %d writes: %s", room, len(job.Assignments), writes, job.PendingReason)
+		}
+		if writes > 5 {
+			t.Errorf("room for %d bytes: %d writes while nothing ended", room, writes)
+		}
+	}
+}
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -84,7 +84,7 @@
 			attempt++
 		}
 		if assigned >= estimated && !a.records.holdsTask(job, i, attempt, node) {
-			reason = job.Room.Reason
+			reason = a.handleFullRecord(job)
 			break
 		}
 		job.Record.Attempt = attempt
@@ -96,6 +96,15 @@
 	return assigned, reason
 }
 
+// handleFullRecord makes room in the record of a job of which no task is assigned, since nothing else would,
+// and returns why the job's tasks are pending.
+func (a *assigner) handleFullRecord(job *workload.Job) (reason string) {
+	if len(job.Assignments) == 0 {
+		a.cluster.ShrinkRecord(job)
+	}
+	return job.Room.Reason
+}
+
 // findNode returns a node for one task. If no node has room, it tries to free capacity or to reserve a
 // machine, and returns why the task is pending. tryNext reports whether the job's next task should be tried:
 // a task that failed before avoids machines to which other tasks of the job may still be assigned.
--- a/internal/scheduler/gang_record.go
+++ b/internal/scheduler/gang_record.go
@@ -26,7 +26,7 @@
 // that is impossible, the reason. A gang within the estimate is not measured here: that only decides whether
 // room is made for it, and its record is measured with the machines that are chosen.
 func (r *recordRoom) gangFit(job *workload.Job, missing int) (fit gangFit, reason string) {
-	if job.Record.Spec.Tasks <= job.MaxAssignedTasks(r.valueBytes()) {
+	if !job.EstimateTooLow && job.Record.Spec.Tasks <= job.EstimatedMaxAssigned(r.valueBytes()) {
 		return fitsAnywhere, ""
 	}
 	if _, fits := r.holdsSpreadOut(job, missing); fits {
@@ -127,6 +127,7 @@
 			return nodes, ""
 		}
 	}
+	job.EstimateTooLow = true // gangFit measures from now on
 	return nil, fmt.Sprintf("there is room only on so many machines that its record would take %d bytes, and a value of the state service holds %d", size, int(a.valueBytes()))
 }
 
--- a/internal/scheduler/record_room.go
+++ b/internal/scheduler/record_room.go
@@ -33,9 +33,15 @@
 // allowance returns how many more tasks of an array or a service may be assigned. The tasks of an array that
 // exceed the estimate wait until others have ended. Those of a service do not end, so they are measured.
 func (r *recordRoom) allowance(job *workload.Job) recordAllowance {
-	estimated := max(0, job.MaxAssignedTasks(r.valueBytes())-len(job.Assignments))
-	if job.Record.Spec.JobType == record.Service {
+	estimated := max(0, job.EstimatedMaxAssigned(r.valueBytes())-len(job.Assignments))
+	isService := job.Record.Spec.JobType == record.Service
+	switch {
+	case isService && job.EstimateTooLow:
+		return recordAllowance{measured: maxMeasuredPerPass}
+	case isService:
 		return recordAllowance{estimated: estimated, measured: maxMeasuredPerPass}
+	case job.EstimateTooLow:
+		return recordAllowance{measured: min(estimated, maxMeasuredPerPass)}
 	}
 	return recordAllowance{estimated: estimated}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -43,6 +43,8 @@
 	// RecordSize returns the least size in bytes of a job's record with planned assignments in addition to
 	// the present ones.
 	RecordSize(job *workload.Job, planned []record.TaskAssignment) (int, error)
+	// ShrinkRecord makes room in a job's record that can't hold a single assignment.
+	ShrinkRecord(job *workload.Job)
 	// RecordRestarts adds an event to a job if lost tasks of the job were assigned again.
 	RecordRestarts(job *workload.Job, assigned []*workload.Assignment)
 	// Stop requests that a task is stopped, with a grace period in which the task may save a checkpoint.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -46,6 +46,8 @@
 	return rec.MinSize()
 }
 
+func (c *fakeCluster) ShrinkRecord(*workload.Job) {}
+
 func (c *fakeCluster) Stop(assignment *workload.Assignment, grace ids.Seconds, _ string) {
 	assignment.Stopping, assignment.StopGrace = true, grace
 	c.stopped = append(c.stopped, assignment.Task().String())
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -46,9 +46,9 @@
 	Urgent bool
 
 	EncodedSize EncodedSize
-	// MaxAssigned bounds the number of tasks that are assigned at a time, after a record of the job was too
-	// large to be stored; 0: no bound.
-	MaxAssigned int
+	// EstimateTooLow is set once a record of the job was larger than estimated, so that it could not be stored.
+	// From then on every further assignment is measured before it is made.
+	EstimateTooLow bool
 	// Room is what was last measured of the room for assignments in the record.
 	Room RecordRoom
 	// Oversize is set if the record was too large to be stored when it was last encoded, and
--- a/internal/workload/record_size.go
+++ b/internal/workload/record_size.go
@@ -44,25 +44,25 @@
 	fillShare        = 0.9
 	// assignmentMargin is the factor by which assignments may grow beyond their last encoded size.
 	assignmentMargin = 1.25
-	// minAssigned is the number of tasks that may always be assigned.
+	// minAssigned is the least estimate, so that a job's first assignments are tried however large its record.
 	minAssigned = 4
 )
 
-// MaxAssignedTasks returns how many tasks of the job may be assigned at a time, so that the job's record fits
-// into a value of the state service; large arrays are assigned in batches. The size of an assignment is
-// assumed at first. Once assignments have been encoded, their mean size is used, which is smaller if many
-// small tasks share a machine. Finished tasks break up the ranges of task indices in which assignments are
-// stored: if the tasks on a machine are not contiguous, each takes the bytes of its own index.
-func (j *Job) MaxAssignedTasks(valueBytes float64) int {
+// EstimatedMaxAssigned returns an estimate of how many tasks of the job may be assigned at a time, so that the
+// job's record fits into a value of the state service; large arrays are assigned in batches. The size of an
+// assignment is assumed at first. Once assignments have been encoded, their mean size is used, which is smaller
+// if many small tasks share a machine. Finished tasks break up the ranges of task indices in which assignments
+// are stored: if the tasks on a machine are not contiguous, each takes the bytes of its own index.
+//
+// The estimate is for arrays, whose assigned tasks end and make room for the others. It must not decide that
+// tasks of a gang or a service wait, since nothing would correct it: their records are measured instead.
+func (j *Job) EstimatedMaxAssigned(valueBytes float64) int {
 	description := min(maxDescriptionBytes, float64(j.descriptionSize()))
 	tasks := int((valueBytes*initialFillShare - description) / initialAssignmentBytes)
 	if size := j.EncodedSize; size.PerAssignment > 0 {
 		perTask := assignmentMargin*max(size.PerAssignment, scatteredTaskBytes) + 1
 		tasks = max(tasks, int((valueBytes*fillShare-float64(size.Rest))/perTask))
 	}
-	if j.MaxAssigned > 0 {
-		tasks = min(tasks, j.MaxAssigned)
-	}
 	return max(minAssigned, tasks)
 }
 
