A machine is rented for waiting work however short its tasks are estimated to be

What callers saw: with no machine up and no other work, a job whose tasks were estimated to take 0.6 s or less waited for ever; nothing was rented.

Cause: queued tasks count by the share of a slot that they use within the queue horizon. The sum of a group of similar jobs is rounded up after a tolerance of 0.01 slots is subtracted, so less than that was rounded down to none.

Change: the demand of a group with waiting tasks is one slot at least.

TestMachineIsWantedHoweverShortTheEstimate failed before for arrays estimated at 1e-9, 0.1 and 0.5 s.

--- a/internal/provisioning/provisioning_test.go
+++ b/internal/provisioning/provisioning_test.go
@@ -73,6 +73,21 @@
 	}
 }
 
+// Regression: no machine was ever rented for a job of an empty fleet whose tasks were estimated to take half a
+// second, since its share of a slot was rounded down to none.
+func TestMachineIsWantedHoweverShortTheEstimate(t *testing.T) {
+	now := time.Now()
+	for _, shape := range []record.JobType{record.Array, record.Gang, record.Service} {
+		for _, estimated := range []ids.Seconds{0, 1e-9, 0.1, 0.5, 1, 1e6} {
+			planner := testPlanner()
+			addJob(planner, "job-1", "class", shape, record.Normal, 1, now).Record.Spec.EstimatedDuration = estimated
+			if demands := planner.Demands(now); len(demands) != 1 || demands[0].Count != 1 {
+				t.Errorf("%s, estimated to take %v s: demands %+v, want one task", shape, estimated, demands)
+			}
+		}
+	}
+}
+
 func TestMachinesAreLateByTheBootTimeOfTheirType(t *testing.T) {
 	now := time.Now()
 	for _, c := range []struct {
--- a/internal/provisioning/queue_demand.go
+++ b/internal/provisioning/queue_demand.go
@@ -30,6 +30,7 @@
 
 // demands returns the demands of the queued jobs, most important first. There is one demand for each group
 // of similar jobs: rounding up the demand of every small job separately would provision a machine for each.
+// The demand of a group is one slot at least, however short its tasks are estimated to be.
 func (q *queuePlanner) demands(now time.Time) (demands []placement.Demand) {
 	sums := map[demandGroup]float64{}
 	positions := map[demandGroup]int{}
@@ -48,7 +49,7 @@
 		sums[group] += slots
 	}
 	for group, position := range positions {
-		demands[position].Count = int(math.Ceil(sums[group] - slotRoundingTolerance))
+		demands[position].Count = max(1, int(math.Ceil(sums[group]-slotRoundingTolerance)))
 	}
 	return demands
 }
