A drain waits if a job's record has no room for the eviction beside its assignments

What operators and callers would have seen, with drains enabled: a replica or a gang that was stopped for a drain, or was about to be, was never assigned again, and no change of its job could be stored any more.

Cause: the stored eviction stays until the task runs again, and takes some 40 to 130 bytes. Only the evictions' own share of a value was checked. In a record that is nearly full they took the room of the assignment that would have removed them. Records may be filled to the last bytes since they are measured, so this became more likely.

Change: a task is evicted only if the record, measured, holds the eviction beside the present assignments; its new assignment takes as much as the present one. The reason is the one that operators know.

Found by reading; drains are off in the deployments' settings.

--- a/internal/clusterstate/eviction_test.go
+++ b/internal/clusterstate/eviction_test.go
@@ -194,3 +194,33 @@
 		t.Errorf("%d budget checks within a second", cluster.evictor.Evaluations())
 	}
 }
+
+// Regression: a replica was stopped for a drain, or its permit could never be stored, although the record had no
+// room for the eviction beside the assignments. The eviction stays until the replica runs again, and the replica
+// could not be assigned again as long as the eviction stayed.
+func TestDrainWaitsIfTheRecordHasNoRoomForTheEviction(t *testing.T) {
+	for _, c := range []struct {
+		room    int // bytes that the record leaves free
+		permits int
+	}{{room: 20, permits: 0}, {room: 120, permits: 1}} {
+		now := time.Now()
+		cluster := newStateWithDrains(t, now)
+		job := cluster.jobs.Get("job-1")
+		cluster.settings.Params.State.ValueKB = 56
+		cluster.SetOrders(newDrainOrders("m1"))
+		// Evictions may fill an eighth of a value, so the record must be large for them to be allowed at all.
+		job.Record.Spec.Class = strings.Repeat("c", 2000)
+		size := recordBytes(t, cluster, job)
+		cluster.settings.Params.State.ValueKB = float64(size+c.room) / 1024
+		runEviction(cluster, now)
+		if n := job.Record.EvictedTasks(); n != c.permits {
+			t.Errorf("room for %d bytes: %d permits, want %d", c.room, n, c.permits)
+		}
+		if after := recordBytes(t, cluster, job); after > cluster.ValueLimit() {
+			t.Errorf("room for %d bytes: the record takes %d of %d bytes after the permits", c.room, after, cluster.ValueLimit())
+		}
+		if blockers := fmt.Sprint(cluster.DrainBlockers()); c.permits == 0 && !strings.Contains(blockers, "no room for more evictions") {
+			t.Errorf("drain blockers %s do not name the full record", blockers)
+		}
+	}
+}
--- a/internal/eviction/drain.go
+++ b/internal/eviction/drain.go
@@ -117,19 +117,44 @@
 
 // blockedReason returns why a task can't be stopped now, or "" if it can.
 func (d *drainer) blockedReason(assignment *workload.Assignment, order rollout.Order) string {
-	maxRecordBytes := int(d.Settings.Params.State.ValueBytes())
 	spec := &assignment.Job.Record.Spec
 	switch {
 	case !assignment.Confirmed:
 		return fmt.Sprintf("the start of %s is not confirmed yet", assignment.Task())
 	case !isService(spec) && !mayInterrupt(spec, order):
 		return fmt.Sprintf("%s can't save and runs to its end", assignment.Task())
-	case !assignment.Job.Record.EvictionsFit(maxRecordBytes):
+	case !d.recordHoldsEvictions(assignment.Job, assignment.Machine, order):
 		return fmt.Sprintf("the record of %s has no room for more evictions", spec.ID)
 	}
 	return ""
 }
 
+// recordHoldsEvictions reports whether a job's record has room for the eviction of the job's tasks on a
+// machine. The evictions stay in the record until the tasks run again, so the record must hold them together
+// with the new assignments, which take as much as the present ones. Otherwise the tasks could not start again,
+// and the evictions would stay forever.
+func (d *drainer) recordHoldsEvictions(job *workload.Job, machine ids.Machine, order rollout.Order) bool {
+	limit := int(d.Settings.Params.State.ValueBytes())
+	if !job.Record.EvictionsFit(limit) {
+		return false
+	}
+	evictions := map[ids.Attempt]int{} // number of tasks by attempt
+	for _, assignment := range job.Assignments {
+		if assignment.Machine == machine || isGang(&job.Record.Spec) {
+			evictions[assignment.Attempt]++
+		}
+	}
+	growth := 0
+	for _, tasks := range evictions {
+		if isGang(&job.Record.Spec) {
+			tasks = 2 // the first and the last one of a range
+		}
+		growth += record.MaxEvictionSize(string(order.Rollout), tasks)
+	}
+	size, err := d.cluster.RecordSize(job, nil)
+	return err == nil && size+growth <= limit
+}
+
 // sortedAssignmentsOn returns the assignments of a machine, sorted by job and task.
 func (s *State) sortedAssignmentsOn(name ids.Machine) []*workload.Assignment {
 	var assignments []*workload.Assignment
--- a/internal/eviction/evictor.go
+++ b/internal/eviction/evictor.go
@@ -25,6 +25,7 @@
 	"github.com/pebbletrail/pebbletrail/internal/estimate"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/rollout"
 	"github.com/pebbletrail/pebbletrail/internal/scheduler"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
@@ -42,6 +43,9 @@
 	// MarkChanged records that a job's record changed; MarkUrgent records that it must be stored at once.
 	MarkChanged(job *workload.Job)
 	MarkUrgent(job *workload.Job)
+	// RecordSize returns the least size in bytes of a job's record with planned assignments in addition to
+	// the present ones.
+	RecordSize(job *workload.Job, planned []record.TaskAssignment) (int, error)
 	// Terminated reports whether the cloud confirmed a machine's deletion.
 	Terminated(machine ids.Machine) bool
 	// CloudListConclusive reports whether the cloud's list of machines was read long enough after the
--- a/internal/eviction/evictor_test.go
+++ b/internal/eviction/evictor_test.go
@@ -34,9 +34,12 @@
 	c.stopped = append(c.stopped, fmt.Sprintf("%s: %s", assignment.Task(), reason))
 }
 
-func (c *fakeCluster) StoreAvailable() bool                { return !c.storeDown }
-func (c *fakeCluster) MarkChanged(job *workload.Job)       { job.Version++ }
-func (c *fakeCluster) MarkUrgent(*workload.Job)            {}
+func (c *fakeCluster) StoreAvailable() bool          { return !c.storeDown }
+func (c *fakeCluster) MarkChanged(job *workload.Job) { job.Version++ }
+func (c *fakeCluster) MarkUrgent(*workload.Job)      {}
+func (c *fakeCluster) RecordSize(*workload.Job, []record.TaskAssignment) (int, error) {
+	return 0, nil
+}
 func (c *fakeCluster) Terminated(machine ids.Machine) bool { return machine == c.terminated }
 func (c *fakeCluster) CloudListConclusive() bool           { return false }
 
--- a/internal/record/eviction.go
+++ b/internal/record/eviction.go
@@ -22,8 +22,8 @@
 	// evictionSizeDivisor divides the maximum size of a value to give the maximum size of a record's
 	// evictions. The rest is for the assignments, without which no task of the job runs.
 	evictionSizeDivisor = 8
-	// evictionOverheadBytes is the approximate encoded size of an eviction without its rollout and
-	// tasks.
+	// evictionOverheadBytes is the largest encoded size of an eviction without its rollout and tasks, that of
+	// the list of evictions included.
 	evictionOverheadBytes = 64
 )
 
@@ -37,6 +37,15 @@
 	return size <= limit/evictionSizeDivisor
 }
 
+// maxIndexBytes is the largest encoded size of a task's index in a list of tasks.
+const maxIndexBytes = 7
+
+// MaxEvictionSize returns how many bytes the eviction of tasks of one attempt adds to a record at most.
+// separate is the number of tasks whose indexes don't adjoin.
+func MaxEvictionSize(rollout string, separate int) int {
+	return evictionOverheadBytes + len(rollout) + separate*maxIndexBytes
+}
+
 // AddEviction adds a task to the job's evictions, in place of any earlier eviction of the task.
 func (r *Record) AddEviction(task int, attempt ids.Attempt, rollout string, wave int) {
 	r.RetainEvictions(func(other int, _ ids.Attempt) bool { return other != task })
