--- a/internal/scheduler/gang_record.go
+++ b/internal/scheduler/gang_record.go
@@ -29,26 +29,26 @@
 	if !job.EstimateTooLow && job.Record.Spec.Tasks <= job.EstimatedMaxAssigned(r.valueBytes()) {
 		return fitsAnywhere, ""
 	}
-	if _, fits := r.holdsSpreadOut(job, missing); fits {
+	if r.holdsSpreadOut(job, missing) {
 		return fitsAnywhere, ""
 	}
 	machines := r.fewestMachines(job, missing)
 	size, fits := machines*minEntryBytes, false
-	if size <= int(r.valueBytes()) {
+	if size <= r.valueLimit() {
 		size, fits = r.holds(job, r.packedOn(job, hypotheticalMachines(machines)))
 	}
 	if fits {
 		return fitsPacked, ""
 	}
-	return fitsNowhere, fmt.Sprintf("its record is too large: its %d tasks need at least %d machines, which take at least %d bytes there, and a value of the state service holds %d",
-		job.Record.Spec.Tasks, machines, size, int(r.valueBytes()))
+	return fitsNowhere, fmt.Sprintf("its record is too large: its %d tasks need at least %d machines, with which it takes at least %d bytes, and a value of the state service holds %d",
+		job.Record.Spec.Tasks, machines, size, r.valueLimit())
 }
 
 // holdsSpreadOut reports whether a gang's record fits with each unassigned task on a machine of its own, as
 // far as the shard has that many machines.
-func (r *recordRoom) holdsSpreadOut(job *workload.Job, missing int) (size int, fits bool) {
-	if size := missing * minEntryBytes; len(r.Capacity.Nodes()) >= missing && size > int(r.valueBytes()) {
-		return size, false
+func (r *recordRoom) holdsSpreadOut(job *workload.Job, missing int) bool {
+	if len(r.Capacity.Nodes()) >= missing && missing*minEntryBytes > r.valueLimit() {
+		return false
 	}
 	names := make([]ids.Machine, 0, missing)
 	for name := range r.Capacity.Nodes() {
@@ -58,9 +58,10 @@
 		names = append(names, name)
 	}
 	if len(names) == 0 {
-		return 0, true // no machine is known yet
+		return true // no machine is known yet
 	}
-	return r.holds(job, r.packedOn(job, names))
+	_, fits := r.holds(job, r.packedOn(job, names))
+	return fits
 }
 
 // fewestMachines returns the least number of machines that have room for a number of a job's tasks, if they
@@ -128,7 +129,7 @@
 		}
 	}
 	job.EstimateTooLow = true // gangFit measures from now on
-	return nil, fmt.Sprintf("there is room only on so many machines that its record would take %d bytes, and a value of the state service holds %d", size, int(a.valueBytes()))
+	return nil, fmt.Sprintf("there is room only on so many machines that its record would take %d bytes, and a value of the state service holds %d", size, a.valueLimit())
 }
 
 // gangAttempt returns the attempt to which a gang's next assignments belong.
--- a/internal/scheduler/record_room.go
+++ b/internal/scheduler/record_room.go
@@ -54,7 +54,7 @@
 		slog.Error("encoding of job record failed", "job", job.ID(), "err", err)
 		return 0, false
 	}
-	return size, size <= int(r.valueBytes())
+	return size, size <= r.valueLimit()
 }
 
 // holdsTask reports whether a job's record has room for one more task on a node, and records the result
@@ -63,7 +63,7 @@
 	size, fits := r.holds(job, []record.TaskAssignment{r.planned(task, attempt, node.Name)})
 	reason := ""
 	if !fits {
-		reason = fmt.Sprintf("its record is full: with one more task it would take %d bytes, and a value of the state service holds %d", size, int(r.valueBytes()))
+		reason = fmt.Sprintf("its record is full: with one more task it would take %d bytes, and a value of the state service holds %d", size, r.valueLimit())
 	}
 	job.SetRecordFull(reason)
 	return fits
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -76,6 +76,9 @@
 // valueBytes returns the size limit, in bytes, of a value in the state service.
 func (s *State) valueBytes() float64 { return s.Settings.Params.State.ValueBytes() }
 
+// valueLimit returns the same limit in whole bytes, with which encoded records are compared.
+func (s *State) valueLimit() int { return int(s.valueBytes()) }
+
 // Scheduler plans the tasks of one shard during one term of the shard's leader.
 type Scheduler struct {
 	*State
