A waiting job whose record no longer fits is explained with its size, and logged once

What callers saw: a job accepted under a larger limit of values, with a long description, stayed "pending" without any reason once all jobs that it awaited were done. The leader logged the same error at each look for changes.

Cause: the move to the schedulable jobs is left out if the record does not fit; nothing told the user.

Change: `explain` gives the least size of the record and the limit, measured, on any controller; the log line comes once a job and term. The job still waits: its description alone exceeds a value.

--- a/internal/clusterstate/ready_jobs.go
+++ b/internal/clusterstate/ready_jobs.go
@@ -110,7 +110,10 @@
 // does not fit a stored value.
 func (t *dependencyTracker) newMove(key string, waiting *workload.WaitingJob, moved *record.Record, value []byte, fits bool) (change commit.Change, ok bool) {
 	if !fits {
-		slog.Error("waiting job's record too large to store; the job is not moved", "job", waiting.ID())
+		if !waiting.Oversize {
+			slog.Error("waiting job's record too large to store; the job is not moved", "job", waiting.ID())
+		}
+		waiting.Oversize = true
 		return commit.Change{}, false
 	}
 	from := record.WaitKey(waiting.ID())
--- a/internal/intake/explain.go
+++ b/internal/intake/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/labstack/echo/v4"
 
@@ -50,6 +51,16 @@
 	return s.explainRecord(ctx, records, stored.record), true, nil
 }
 
+// describeOversize returns why a job that waits for its dependencies can't become schedulable, if its record,
+// accepted under a larger limit, does not fit into a value any more.
+func (s *JobService) describeOversize(rec *record.Record) []string {
+	size, err := rec.MinSize()
+	if err != nil || size <= s.valueLimit() {
+		return nil
+	}
+	return []string{fmt.Sprintf("its record takes at least %d bytes, and a value of the state service holds %d: it can't become schedulable", size, s.valueLimit())}
+}
+
 // explainRecord returns a job's events and the forecast of its pipeline. Unless the job has ended or
 // waits for its dependencies, it adds the leader's explanation of the job's tasks.
 func (s *Server) explainRecord(ctx context.Context, records *recordReader, rec *record.Record) Explanation {
@@ -59,10 +70,14 @@
 	if err != nil {
 		explanation.Note = err.Error()
 	}
-	if rec.Status.IsTerminal() || records.isBlocked(id) {
+	if rec.Status.IsTerminal() {
 		explanation.Outlook = pipeline
 		return explanation
 	}
+	if records.isBlocked(id) {
+		explanation.Outlook = append(s.Jobs.describeOversize(rec), pipeline...)
+		return explanation
+	}
 	explanation.Outlook, explanation.Leader, err = s.ExplainByLeader(ctx, id)
 	if err != nil {
 		explanation.Note = err.Error()
--- a/internal/intake/forecast_test.go
+++ b/internal/intake/forecast_test.go
@@ -182,3 +182,30 @@
 		cluster.expectExplanation("job-1", "the pipeline is in time: by the estimates it ends 10s before its deadline; it hangs on job-1 first")
 	})
 }
+
+func TestOversizeWaitingJobIsExplainedWithItsSize(t *testing.T) {
+	// Regression: a job that was accepted under a larger limit stayed pending without any reason, even when all
+	// jobs that it awaited were done.
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newTestCluster(t)
+		cluster.storeJob("job-1", record.Done)
+		spec, err := parseSubmission(bytes.NewReader(marshal(dependentSubmission("job-2", []string{"job-1"}))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		spec.Class = strings.Repeat("c", 3000)
+		cluster.storeRecord(newRecord(spec, record.Queued), true)
+		for _, c := range []struct {
+			valueKB float64
+			want    bool
+		}{{8, false}, {2, true}} {
+			for _, service := range cluster.services {
+				service.Settings.Params.State.ValueKB = c.valueKB
+			}
+			body := serve(cluster.nodes["a"], "GET", "/v2/runs/job-2/explain", nil).Body.String()
+			if got := strings.Contains(body, "a value of the state service holds 2048"); got != c.want {
+				t.Errorf("with values of %v KiB the explanation names the sizes: %v, want %v: %.300s", c.valueKB, got, c.want, body)
+			}
+		}
+	})
+}
--- a/internal/workload/waiting.go
+++ b/internal/workload/waiting.go
@@ -9,6 +9,8 @@
 type WaitingJob struct {
 	Record   *record.Record
 	Revision ids.Revision
+	// Oversize is set once the record was found too large to be moved to the schedulable jobs.
+	Oversize bool
 }
 
 // ID returns the job's ID.
