Machines are rented for a gang whose record fits only if its tasks share machines

Need: such a gang waits if the room that is free is spread over too many machines. For the fleet's plan that room was enough, so nothing was rented, and only the end of other work could end the wait.

Change: the least number of tasks that must share each machine is measured, in powers of two. The plan asks for slots of that many tasks, so room for single tasks does not count, and new machines have room for several.

TestMachinesAreWantedForAGangThatMustShareMachines failed without the change: 100 slots of one task, which the free room covered.

--- a/internal/clusterstate/record_room_test.go
+++ b/internal/clusterstate/record_room_test.go
@@ -202,6 +202,35 @@
 	}
 }
 
+// Guards against a gang that waits forever because the room that is free on many machines counts as enough,
+// although its record fits only on few: no machine was rented for it.
+func TestMachinesAreWantedForAGangThatMustShareMachines(t *testing.T) {
+	t.Parallel()
+	now := time.Now()
+	cluster := newStateWithMachines(100)
+	cluster.submit(1, newServiceRecord("job-2", "blue", record.Normal, 100, 3), now)
+	cluster.Plan(now)
+	cluster.markAllStored()
+	cluster.settings.Params.State.ValueKB = 0.75
+	cluster.submit(2, newGangRecord("job-1", "blue", record.Normal, 100, 1), now)
+	cluster.Plan(now)
+	job := cluster.jobs.Get("job-1")
+	if len(job.Assignments) > 0 || !strings.Contains(job.PendingReason, "only on so many machines") {
+		t.Fatalf("%d tasks are assigned, pending reason %q", len(job.Assignments), job.PendingReason)
+	}
+	demands := cluster.planner.Demands(now)
+	if len(demands) != 1 || float64(demands[0].Count)*demands[0].Request.Resources.Cores != 100 || demands[0].Request.Resources.Cores < 2 {
+		t.Fatalf("demands %+v, want machines with room for several tasks each", demands)
+	}
+	for i := range demands[0].Count {
+		cluster.heartbeat(ids.Machine(fmt.Sprintf("host-%06d", 200+i)), "north", 1)
+	}
+	cluster.Plan(now)
+	if len(job.Assignments) != 100 || recordBytes(t, cluster, job) > cluster.ValueLimit() {
+		t.Errorf("%d tasks are assigned on the machines that were wanted: %s", len(job.Assignments), job.PendingReason)
+	}
+}
+
 // Regression: replicas beyond the estimate never started, since those that run never end.
 func TestServiceGetsAllReplicasThatItsRecordHolds(t *testing.T) {
 	t.Parallel()
--- a/internal/provisioning/queue_demand.go
+++ b/internal/provisioning/queue_demand.go
@@ -69,6 +69,9 @@
 		return 0, 0
 	}
 	slots, reclaimable = float64(queued), 1
+	if perSlot := job.TasksPerMachine; perSlot > 1 {
+		slots = math.Ceil(slots / float64(perSlot))
+	}
 	estimate := float64(spec.EstimatedDuration)
 	if estimate <= 0 {
 		return slots, reclaimable
@@ -105,7 +108,10 @@
 func (q *queuePlanner) groupOf(job *workload.Job) (placement.Request, demandGroup) {
 	spec := &job.Record.Spec
 	request := spec.PlacementRequest()
-	group := demandGroup{class: spec.Class, guaranteed: job.Guaranteed, need: spec.Resources, types: strings.Join(spec.InstanceTypes, ",")}
+	if perSlot := job.TasksPerMachine; perSlot > 1 {
+		request.Resources = spec.Resources.Times(float64(perSlot)) // one slot for the tasks that must share a machine
+	}
+	group := demandGroup{class: spec.Class, guaranteed: job.Guaranteed, need: request.Resources, types: strings.Join(spec.InstanceTypes, ",")}
 	if spec.SingleZone && spec.Tasks > 1 {
 		group.job = spec.ID
 		for _, assignment := range job.Assignments {
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -25,6 +25,10 @@
 	}
 	fit, reason := a.records.gangFit(job, missing)
 	job.SetRecordFull(reason)
+	job.TasksPerMachine = 0
+	if fit == fitsPacked {
+		job.TasksPerMachine = a.records.tasksPerMachine(job, missing)
+	}
 	if fit == fitsNowhere {
 		job.PendingReason = reason
 		return
--- a/internal/scheduler/gang_record.go
+++ b/internal/scheduler/gang_record.go
@@ -67,16 +67,48 @@
 // fewestMachines returns the least number of machines that have room for a number of a job's tasks, if they
 // are of the allowed types.
 func (r *recordRoom) fewestMachines(job *workload.Job, tasks int) int {
+	return divideUp(tasks, r.mostPerMachine(job, tasks))
+}
+
+// mostPerMachine returns for how many of a job's tasks, at least one and at most tasks, an empty machine of
+// the allowed types has room.
+func (r *recordRoom) mostPerMachine(job *workload.Job, tasks int) int {
 	request := job.Record.Spec.PlacementRequest()
-	perMachine := 1
+	most := 1
 	for name, instanceType := range r.Capacity.Types() {
 		if request.Allows(name, request.Zone, false) || request.Allows(name, request.Zone, true) {
-			perMachine = max(perMachine, instanceType.Capacity().CountFitting(request.Resources, tasks))
+			most = max(most, instanceType.Capacity().CountFitting(request.Resources, tasks))
 		}
 	}
-	return (tasks + perMachine - 1) / perMachine
+	return most
 }
 
+// tasksPerMachine returns how many of a gang's unassigned tasks must share each machine so that its record
+// fits, as far as the names of the machines can be foreseen. Machines are provisioned accordingly.
+func (r *recordRoom) tasksPerMachine(job *workload.Job, missing int) int {
+	most := r.mostPerMachine(job, missing)
+	for tasks := 2; tasks < most; tasks *= 2 {
+		names := make([]ids.Machine, divideUp(missing, tasks))
+		for i := range names {
+			names[i] = ids.Machine(fmt.Sprintf("%0*d", foreseenDigits, i*foreseenStep))
+		}
+		if _, fits := r.holds(job, r.packedOn(job, names)); fits {
+			return tasks
+		}
+	}
+	return most
+}
+
+// The names that are foreseen for machines to be rented: numbers of which these many digits differ, not in
+// direct succession.
+const (
+	foreseenDigits = 6
+	foreseenStep   = 7
+)
+
+// divideUp returns n divided by a positive divisor, rounded up.
+func divideUp(n, divisor int) int { return (n + divisor - 1) / divisor }
+
 // hypotheticalMachines returns the shortest names for a number of machines.
 func hypotheticalMachines(count int) []ids.Machine {
 	names := make([]ids.Machine, count)
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -59,6 +59,10 @@
 	// value of the state service; 0: all.
 	KeptSpans int
 
+	// TasksPerMachine is how many tasks of a gang must share each machine so that its record fits into a value;
+	// 0: they need not share machines.
+	TasksPerMachine int
+
 	// PendingReason is the reason why tasks are pending, and LoggedReason is the reason that was last logged.
 	PendingReason, LoggedReason string
 	LastSlice                   ArraySlice
