Known to fail: overdue tasks keep machines from being rented for waiting work

What is seen: with one machine, full with tasks that were estimated at 1 s and have run for an hour, no machine is rented for a job of four tasks of 10 s that has waited as long. The capacity in use counts as free within the queue horizon by the estimates, and is never compared with how long the tasks have run. The wait ends only with those tasks.

Found by asking of each estimate what ends the wait that it decides.

--- a/internal/provisioning/provisioning_test.go
+++ b/internal/provisioning/provisioning_test.go
@@ -283,3 +283,21 @@
 		}
 	}
 }
+
+// Guards against work that waits for tasks which, by their estimates, should have ended long ago: what they use
+// counts as free soon, so no machine is rented for as long as they run. In KNOWN-RED.txt.
+func TestOverdueTasksDoNotKeepMachinesFromBeingRented(t *testing.T) {
+	now := time.Now()
+	planner := testPlanner()
+	planner.Capacity.SetTypes([]placement.InstanceType{{Label: "small", Cores: 4, RAM: 16, PullGBPerS: 1, Price: 1, BootS: 30, Zones: []string{"north"}}})
+	addMachine(planner, "m", now, 2*time.Hour, false)
+	overdue := addJob(planner, "job-1", "class", record.Array, record.Normal, 4, now)
+	overdue.Record.Spec.EstimatedDuration = 1
+	runTasks(planner, overdue, 4, "m", now.Add(-time.Hour))
+	addJob(planner, "job-2", "class", record.Array, record.Normal, 4, now.Add(-time.Hour))
+	everythingOffered := func(string, string, bool) bool { return true }
+	requests, _ := placement.PlanScaleOut(planner.Demands(now), planner.Instances(now), planner.Types(), everythingOffered)
+	if len(requests) == 0 {
+		t.Errorf("no machine is rented for a job that has waited for an hour; demands: %+v", planner.Demands(now))
+	}
+}
