Reproduce: late copies of answered commands run tasks again (known to fail)

The records show one leader and one token throughout; a copy of a start that had been executed and answered arrived after the outcome had been cleared, and the worker started the attempt again.

The fakes get the outcome DuplicateLate. No behaviour changes.

--- a/internal/fake/faults.go
+++ b/internal/fake/faults.go
@@ -22,6 +22,9 @@
 	// Duplicate delivers the request and the answer, and delivers a copy of the request when
 	// ReleaseHeld is called.
 	Duplicate
+	// DuplicateLate delivers the request and the answer, and delivers a copy of the request after the
+	// delay set by SetDelay.
+	DuplicateLate
 	// Delay delivers the request after the delay set by SetDelay; the caller gets no answer. Requests
 	// sent later may be delivered earlier.
 	Delay
@@ -60,6 +63,18 @@
 	}
 }
 
+// DuplicateChanges returns a rule that applies an outcome, Duplicate or DuplicateLate, to the requests that
+// change something and are selected by the function: commands, heartbeats, users' requests, transactions
+// and calls on leases.
+func DuplicateChanges(outcome Outcome, selected func() bool) Rule {
+	return func(_, _ string, r *http.Request, _ []byte) Outcome {
+		if r.Method != http.MethodGet && selected() {
+			return outcome
+		}
+		return Deliver
+	}
+}
+
 // DuplicateHeartbeats returns a rule that keeps copies of a worker's heartbeats until ReleaseHeld is
 // called, so that a later leader can receive outdated heartbeats.
 func DuplicateHeartbeats(worker string) Rule {
--- a/internal/fake/network.go
+++ b/internal/fake/network.go
@@ -28,8 +28,8 @@
 	heldBack []func()
 	// rule chooses the outcome of each request; nil delivers all requests.
 	rule Rule
-	// delay returns the delay of the next request or answer with the outcome Delay or DelayResponse;
-	// nil means defaultDelay.
+	// delay returns the delay of the next request, answer or copy with the outcome Delay, DelayResponse or
+	// DuplicateLate; nil means defaultDelay.
 	delay func() time.Duration
 	// latency returns the one-way latency of a request or an answer; nil means none.
 	latency func() time.Duration
@@ -77,8 +77,8 @@
 	n.rule = rule
 }
 
-// SetDelay sets the function that returns the delay of the next request or answer with the outcome
-// Delay or DelayResponse.
+// SetDelay sets the function that returns the delay of the next request, answer or copy with the outcome
+// Delay, DelayResponse or DuplicateLate.
 func (n *Network) SetDelay(delay func() time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -177,6 +177,9 @@
 	case Duplicate:
 		t.net.holdBack(d)
 		return d.deliver(handler)
+	case DuplicateLate:
+		time.AfterFunc(t.net.nextDelay(), d.deliverLate)
+		return d.deliver(handler)
 	case Deliver:
 		return d.deliver(handler)
 	}
@@ -187,10 +190,10 @@
 // errConnectionRefused means that a connection was refused.
 var errConnectionRefused = errors.New("connection refused")
 
-// defaultDelay is the delay for the outcomes Delay and DelayResponse unless SetDelay was called.
+// defaultDelay is the delay for the outcomes Delay, DelayResponse and DuplicateLate unless SetDelay was called.
 const defaultDelay = 2 * time.Second
 
-// nextDelay returns the delay of the next delayed request or answer.
+// nextDelay returns the delay of the next delayed request, answer or copy.
 func (n *Network) nextDelay() time.Duration {
 	n.mu.Lock()
 	delay := n.delay
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -270,6 +271,13 @@
 	return tasks
 }
 
+// ExecutedStarts returns a copy of Starts.
+func (w *Worker) ExecutedStarts() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.Starts)
+}
+
 // StartCount returns the number of executed starts of a task.
 func (w *Worker) StartCount(task string) (starts int) {
 	w.mu.Lock()
--- a/internal/scenarios/assertions_test.go
+++ b/internal/scenarios/assertions_test.go
@@ -103,6 +103,13 @@
 // isRunning reports whether a task runs on exactly one machine.
 func (c *testCluster) isRunning(task string) bool { return len(c.machinesRunning(task)) == 1 }
 
+// endOnAnyMachine ends a running task for the given cause, on the machine on which it runs.
+func (c *testCluster) endOnAnyMachine(task, cause string) {
+	for _, worker := range c.listWorkers() {
+		worker.EndTask(task, cause)
+	}
+}
+
 // noneRunning reports whether none of the tasks runs on a machine.
 func (c *testCluster) noneRunning(tasks ...string) bool {
 	for _, task := range tasks {
--- a/internal/scenarios/fault_injector_test.go
+++ b/internal/scenarios/fault_injector_test.go
@@ -58,7 +58,7 @@
 
 // inject injects a random fault for 2 to 28 s, and returns when the fault has ended.
 func (i *faultInjector) inject(slot int) {
-	machine, kind, duration := i.machines[i.random.intn(len(i.machines))], i.random.intn(11), i.random.milliseconds(2000, 28000)
+	machine, kind, duration := i.machines[i.random.intn(len(i.machines))], i.random.intn(12), i.random.milliseconds(2000, 28000)
 	switch kind {
 	case 0:
 		i.hang(machine, duration)
@@ -86,9 +86,24 @@
 		i.setRuleFor(duration, slot, i.randomCommitFault(fake.Delay))
 	case 10:
 		i.isolateLeader(slot, duration)
+	case 11:
+		i.duplicateChanges(slot, duration)
 	}
 }
 
+// duplicateChanges keeps copies of half of all requests that change something. They arrive seconds late or,
+// for every other fault, all at once up to a minute after it.
+func (i *faultInjector) duplicateChanges(slot int, duration time.Duration) {
+	selected := func() bool { return i.random.intn(2) == 0 }
+	if i.random.intn(2) == 0 {
+		i.setRuleFor(duration, slot, fake.DuplicateChanges(fake.DuplicateLate, selected))
+		return
+	}
+	i.setRuleFor(duration, slot, fake.DuplicateChanges(fake.Duplicate, selected))
+	time.Sleep(i.random.milliseconds(0, 60000))
+	i.cluster.network.ReleaseHeld()
+}
+
 // hang makes a machine hang for the duration.
 func (i *faultInjector) hang(machine string, duration time.Duration) {
 	i.cluster.workerNamed(machine).SetHung(true)
