A clear is sent under a token that rejects every direct command sent before

Cause: the leader cleared an outcome as soon as it was stored and no start was unanswered. After the clear the worker does not know the attempt, and it still accepts the leader's token, so a copy of the answered start ran the task again. An answer was taken for the end of a command, but an answered command may arrive once more.

Change: a leader reserves a range of tokens by storing the last of them as the generation. Before a response clears an outcome, the leader raises the token of that one machine above that of every direct command it sent there; the clear and the higher token reach the worker together. No change of the store, no further message. A confirmed task that is missing from a report is lost only once its worker has seen such a token. Outcomes whose start was unanswered may now be cleared as well, since the same token rejects that start.

Why in responses to heartbeats: a worker awaits one at a time, so none is dropped for a lower token.

--- a/internal/clusterstate/assignments.go
+++ b/internal/clusterstate/assignments.go
@@ -52,16 +52,22 @@
 	if !assignment.Confirmed && !c.noDirectStartOutstanding(assignment) && c.underCurrentGeneration(assignment) {
 		// A start that is still in flight could begin the task: raise the fencing token, so that the worker
 		// rejects the start once it has seen the token.
-		c.raisePending = true
-		wait.Signal(c.commitSignal)
+		c.reserveTokens()
 	}
 	wait.Signal(c.planSignal)
 }
 
+// reserveTokens requests that the generation be raised, which reserves fencing tokens higher than all that
+// were used before.
+func (c *State) reserveTokens() {
+	c.raisePending = true
+	wait.Signal(c.commitSignal)
+}
+
 // underCurrentGeneration reports whether the assignment carries the current generation as its fencing
 // token.
 func (c *State) underCurrentGeneration(assignment *workload.Assignment) bool {
-	return assignment.FencingToken == c.generation
+	return assignment.FencingToken == c.generation()
 }
 
 // noDirectStartOutstanding reports whether every start of the assignment that was sent directly to the
--- a/internal/clusterstate/commands.go
+++ b/internal/clusterstate/commands.go
@@ -16,7 +16,7 @@
 	if c.closed {
 		return nil
 	}
-	permission := dispatch.Permission{FencingToken: c.generation, Starts: starts, RecordsRead: recordsRead}
+	permission := dispatch.Permission{Tokens: c.tokens, Starts: starts, RecordsRead: recordsRead}
 	return c.commands.NextBatches(limit, permission, time.Now())
 }
 
@@ -31,7 +31,7 @@
 func (c *State) SelectProbes(now time.Time, limit int) []dispatch.Probe {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.prober.SelectProbes(now, limit, c.generation)
+	return c.prober.SelectProbes(now, limit, c.tokens)
 }
 
 // RecordProbeAnswer records whether a machine answered a probe.
--- a/internal/clusterstate/eviction.go
+++ b/internal/clusterstate/eviction.go
@@ -10,7 +10,7 @@
 // newEvictor returns the evictor of a term.
 func newEvictor(c *State) *eviction.Evictor {
 	return eviction.New(eviction.State{Settings: c.settings, Jobs: c.jobs, Machines: c.machines, Capacity: c.capacity,
-		Estimates: c.estimates, Scheduler: c.scheduler, FirstGeneration: c.firstGeneration, Lock: &c.mu}, operations{c})
+		Estimates: c.estimates, Scheduler: c.scheduler, FirstToken: c.firstToken, Lock: &c.mu}, operations{c})
 }
 
 // SetOrders replaces the orders that rollouts give to the leader.
--- a/internal/clusterstate/hints.go
+++ b/internal/clusterstate/hints.go
@@ -42,7 +42,7 @@
 func (c *State) Hints(since HintPosition) (hints []Hint, position HintPosition) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	position = HintPosition{Generation: c.firstGeneration, Sequence: c.hintSequence, Complete: since.Generation != c.firstGeneration}
+	position = HintPosition{Generation: c.firstToken, Sequence: c.hintSequence, Complete: since.Generation != c.firstToken}
 	if position.Complete {
 		since.Sequence = 0
 	}
--- a/internal/clusterstate/operations.go
+++ b/internal/clusterstate/operations.go
@@ -20,8 +20,11 @@
 // StoreAvailable reports whether the store has answered recently.
 func (o operations) StoreAvailable() bool { return o.cluster.StoreAvailable() }
 
-// FencingToken returns the fencing token that starts carry now.
-func (o operations) FencingToken() ids.Generation { return o.cluster.generation }
+// FencingToken returns the highest fencing token that starts may carry now.
+func (o operations) FencingToken() ids.Generation { return o.cluster.generation() }
+
+// ReserveTokens requests that the leader reserve further fencing tokens.
+func (o operations) ReserveTokens() { o.cluster.reserveTokens() }
 
 // Assign adds an assignment.
 func (o operations) Assign(assignment *workload.Assignment) { o.cluster.addAssignment(assignment) }
--- a/internal/clusterstate/planning.go
+++ b/internal/clusterstate/planning.go
@@ -28,6 +28,6 @@
 // newScheduler returns the scheduler of a term. Its random numbers are seeded from the term.
 func newScheduler(c *State) *scheduler.Scheduler {
 	state := scheduler.State{Settings: c.settings, Jobs: c.jobs, Machines: c.machines, Capacity: c.capacity, Quota: c.quota, Estimates: c.estimates}
-	rng := rand.New(rand.NewPCG(uint64(c.generation), uint64(len(c.writer))))
+	rng := rand.New(rand.NewPCG(uint64(c.firstToken), uint64(len(c.writer))))
 	return scheduler.New(state, operations{c}, rng)
 }
--- a/internal/clusterstate/reports.go
+++ b/internal/clusterstate/reports.go
@@ -12,23 +12,24 @@
 // newReconciler returns the reconciler of a term.
 func newReconciler(c *State) *reconcile.Reconciler {
 	return reconcile.New(reconcile.State{Settings: c.settings, Jobs: c.jobs, Machines: c.machines, Capacity: c.capacity,
-		Estimates: c.estimates, Commands: c.commands, Costs: &c.costs, FirstGeneration: c.firstGeneration}, operations{c})
+		Estimates: c.estimates, Commands: c.commands, Costs: &c.costs, FirstToken: c.firstToken}, operations{c})
 }
 
-// ReconcileHeartbeat reconciles a worker's report and returns the commands for its machine. answered is set
+// ReconcileHeartbeat reconciles a worker's report and returns the commands for its machine, with their fencing
+// token. answered is set
 // if the worker gets a 200 for this report; heartbeat is set if the report is a heartbeat, not the answer
 // to direct commands.
-func (c *State) ReconcileHeartbeat(report *worker.Report, answered, heartbeat bool) []worker.Command {
+func (c *State) ReconcileHeartbeat(report *worker.Report, answered, heartbeat bool) worker.CommandBatch {
 	starts, recordsRead := c.StartsAllowed()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	defer measure.Default.Took("report", now)
 	if c.terminated[report.Machine] {
-		return nil // the report was delayed: the machine is gone already
+		return worker.CommandBatch{FencingToken: c.tokens.First} // the report was delayed: the machine is gone already
 	}
 	source := reconcile.Source{Heartbeat: heartbeat, Answered: answered, EarliestLeaseExpiry: c.earliestLeaseExpiry}
-	permission := dispatch.Permission{FencingToken: c.generation, Starts: starts, RecordsRead: recordsRead}
+	permission := dispatch.Permission{Tokens: c.tokens, Starts: starts, RecordsRead: recordsRead}
 	return c.reconciler.Report(report, source, permission, now)
 }
 
@@ -37,5 +38,5 @@
 func (c *State) LeaseMustExpire(report *worker.Report, grace time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.reconciler.LeaseMustExpire(report, grace, c.generation)
+	return c.reconciler.LeaseMustExpire(report, grace, c.generation())
 }
--- a/internal/clusterstate/state.go
+++ b/internal/clusterstate/state.go
@@ -39,12 +39,12 @@
 	mu sync.Mutex
 
 	// These fields are constant during the term.
-	settings        *config.Settings
-	shard           ids.Shard
-	keys            record.ShardKeys
-	writer          string         // identifies this leader in the records that it writes
-	firstGeneration ids.Generation // the generation with which the term began
-	termBegan       time.Time
+	settings   *config.Settings
+	shard      ids.Shard
+	keys       record.ShardKeys
+	writer     string         // identifies this leader in the records that it writes
+	firstToken ids.Generation // the first fencing token of the term
+	termBegan  time.Time
 
 	// These are updated with each change, so that planning, sending and storing never iterate over the
 	// whole fleet or all jobs.
@@ -72,9 +72,9 @@
 	commands   *dispatch.Queue
 	prober     *dispatch.Prober
 
-	// generation is the fencing token that commands carry now. raisePending is set if it should be raised,
-	// so that workers reject late starts.
-	generation   ids.Generation
+	// tokens are the fencing tokens that commands may carry now. raisePending is set if others should be
+	// reserved, so that workers reject late starts.
+	tokens       ids.TokenRange
 	raisePending bool
 	// earliestLeaseExpiry is the earliest time at which the lease of a machine that has not reported counts
 	// as expired: an earlier leader may have gone on answering the worker until that leader's grace period
@@ -101,14 +101,15 @@
 	commitSignal, planSignal chan struct{}
 }
 
-// New returns the cluster state of one term of leading the first shard.
-func New(settings *config.Settings, writer string, generation ids.Generation, earliestLeaseExpiry time.Time) *State {
-	return NewShard(settings, writer, generation, earliestLeaseExpiry, 0)
+// New returns the cluster state of one term of leading the first shard; firstToken is the first of its fencing
+// tokens.
+func New(settings *config.Settings, writer string, firstToken ids.Generation, earliestLeaseExpiry time.Time) *State {
+	return NewShard(settings, writer, ids.ReserveTokens(firstToken-1), earliestLeaseExpiry, 0)
 }
 
 // NewShard returns the cluster state of one term of leading a shard. Before earliestLeaseExpiry, no lease
 // of a machine that has not reported counts as expired.
-func NewShard(settings *config.Settings, writer string, generation ids.Generation, earliestLeaseExpiry time.Time, shard ids.Shard) *State {
+func NewShard(settings *config.Settings, writer string, tokens ids.TokenRange, earliestLeaseExpiry time.Time, shard ids.Shard) *State {
 	machines := worker.NewRegistry(settings.Params.Workers.LeaseS)
 	index := capacity.NewIndex(machines)
 	c := &State{
@@ -116,7 +117,7 @@
 		shard:               shard,
 		keys:                record.KeysOf(shard, settings.ShardCount()),
 		writer:              writer,
-		firstGeneration:     generation,
+		firstToken:          tokens.First,
 		termBegan:           time.Now(),
 		jobs:                workload.NewQueue(),
 		machines:            machines,
@@ -127,7 +128,7 @@
 		changes:             workload.NewChanges(),
 		cancellations:       map[ids.Job]ids.Revision{},
 		terminated:          map[ids.Machine]bool{},
-		generation:          generation,
+		tokens:              tokens,
 		earliestLeaseExpiry: earliestLeaseExpiry,
 		StatusInOtherShard:  func(ids.Job) (record.Status, bool) { return "", false },
 		StoreAvailable:      func() bool { return true },
@@ -246,13 +247,16 @@
 	c.dependencies.refreshDurations()
 }
 
-// Generation returns the fencing token that this leader's commands carry now.
+// Generation returns this leader's generation, the highest fencing token that its commands may carry now.
 func (c *State) Generation() ids.Generation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.generation
+	return c.generation()
 }
 
+// generation is like Generation. The caller holds the lock.
+func (c *State) generation() ids.Generation { return c.tokens.Last }
+
 // Close closes the cluster state: nothing more is planned or sent from it.
 func (c *State) Close() {
 	c.mu.Lock()
--- a/internal/clusterstate/store_changes.go
+++ b/internal/clusterstate/store_changes.go
@@ -127,7 +127,7 @@
 // nextRecord returns a job's record, without its assignments, as this leader would write a version of it.
 func (c *State) nextRecord(job *workload.Job, version uint64) record.Record {
 	next := job.Record
-	next.Generation, next.Writer, next.Seq = c.generation, c.writer, version
+	next.Generation, next.Writer, next.Seq = c.generation(), c.writer, version
 	return next
 }
 
@@ -207,7 +207,7 @@
 func (c *State) GenerationRaised(generation ids.Generation) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.generation, c.raisePending = generation, false
+	c.tokens, c.raisePending = ids.TokenRange{First: c.generation() + 1, Last: generation}, false
 	for _, node := range c.capacity.Nodes() {
 		if len(node.Assignments) > 0 {
 			c.commands.Add(node) // the markers of starts that were not sent yet must carry the new token
--- a/internal/commit/generation.go
+++ b/internal/commit/generation.go
@@ -31,10 +31,10 @@
 	return c.generationRevision
 }
 
-// raiseGeneration raises the generation during this leader's term, so that workers reject every direct
-// start that is still in flight. The caller holds the write slot.
+// raiseGeneration raises the generation during this leader's term. That reserves further fencing tokens, with
+// which workers reject every direct command that is still in flight. The caller holds the write slot.
 func (c *Committer) raiseGeneration(ctx context.Context) {
-	next := c.cluster.Generation() + 1
+	next := ids.ReserveTokens(c.cluster.Generation()).Last
 	value, err := json.Marshal(GenerationRecord{next, c.node, c.cluster.Writer()})
 	if err != nil {
 		slog.Error("cannot encode the generation record, retrying", "err", err)
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -15,6 +15,7 @@
 	Address      string
 	Incarnation  ids.Incarnation
 	FencingToken ids.Generation
+	Generation   ids.Generation // the leader's, which the stored markers of the starts contain
 	Commands     []worker.Command
 }
 
@@ -39,8 +40,8 @@
 
 // Permission contains the conditions under which starts may be sent.
 type Permission struct {
-	// FencingToken is the leader's current generation.
-	FencingToken ids.Generation
+	// Tokens are the fencing tokens of the leader; the last one is its current generation.
+	Tokens ids.TokenRange
 	// Starts is true if starts may be sent at all.
 	Starts bool
 	// RecordsRead is the time of the last complete read of the records. Another controller may have
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -31,7 +31,7 @@
 	RecordProbeAnswer(machine ids.Machine, answered bool)
 	// ReconcileHeartbeat reconciles a report of a machine: a heartbeat, or the response to commands or a
 	// probe.
-	ReconcileHeartbeat(report *worker.Report, answered, heartbeat bool) []worker.Command
+	ReconcileHeartbeat(report *worker.Report, answered, heartbeat bool) worker.CommandBatch
 }
 
 // Dispatcher sends commands and probes, each batch and each probe in its own goroutine. The slots limit the
--- a/internal/dispatch/outcomes.go
+++ b/internal/dispatch/outcomes.go
@@ -31,7 +31,7 @@
 func (q *Queue) markStartsUnsent(batch *Batch) {
 	for assignment := range q.capacity.AssignmentsOn(batch.Machine) {
 		outstanding := assignment.StartSent && !assignment.Confirmed && !assignment.OfferedInHeartbeat
-		ofBatch := assignment.Incarnation == batch.Incarnation && assignment.FencingToken == batch.FencingToken
+		ofBatch := assignment.Incarnation == batch.Incarnation && assignment.FencingToken == batch.Generation
 		if !outstanding || !ofBatch || !batch.starts(assignment.Task().String(), assignment.Attempt) {
 			continue
 		}
--- a/internal/dispatch/prober.go
+++ b/internal/dispatch/prober.go
@@ -59,7 +59,7 @@
 
 // SelectProbes selects the machines to probe now, with at most limit probes in flight. Machines with replicas
 // come first, then those whose last probe was longest ago, so that hundreds of silent machines take turns.
-func (p *Prober) SelectProbes(now time.Time, limit int, fencingToken ids.Generation) (probes []Probe) {
+func (p *Prober) SelectProbes(now time.Time, limit int, tokens ids.TokenRange) (probes []Probe) {
 	if now.Sub(p.selectedAt) < selectionInterval {
 		return nil
 	}
@@ -73,7 +73,7 @@
 		if machine.UnansweredProbes == 0 {
 			machine.SuspectSince = now
 		}
-		probe := Probe{Machine: machine.Name, Address: machine.Addr, FencingToken: fencingToken}
+		probe := Probe{Machine: machine.Name, Address: machine.Addr, FencingToken: machine.CommandToken(tokens)}
 		if !machine.HasReported {
 			probe.Incarnation = machine.HintedIncarnation
 		}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -67,7 +67,13 @@
 		}
 		delete(q.pending, node)
 		machine := q.machines.Machines[node.Name]
-		batch := Batch{Machine: node.Name, Address: machine.Addr, Incarnation: machine.Incarnation, FencingToken: permission.FencingToken}
+		batch := Batch{
+			Machine:      node.Name,
+			Address:      machine.Addr,
+			Incarnation:  machine.Incarnation,
+			FencingToken: machine.CommandToken(permission.Tokens),
+			Generation:   permission.Tokens.Last,
+		}
 		for assignment := range node.Assignments {
 			if assignment.Incarnation == machine.Incarnation {
 				q.addCommand(&batch, assignment, node, machine, &permission, now)
@@ -75,6 +81,7 @@
 		}
 		if len(batch.Commands) > 0 {
 			machine.CommandsInFlight = true
+			machine.RecordDirectCommands(batch.FencingToken)
 			batches = append(batches, batch)
 		}
 	}
@@ -115,17 +122,17 @@
 		q.Add(node) // starts of the job may be permitted later
 	case assignment.Job.StoredVersion < assignment.MarkerVersion:
 	case !scheduler.GangStartAllowed(assignment, machine, q.machines):
-	case assignment.FencingToken == permission.FencingToken:
+	case assignment.FencingToken == permission.Tokens.Last:
 		batch.addStart(assignment, machine)
 	case assignment.MarkerVersion > 0:
-		q.renewMarker(assignment, permission.FencingToken)
+		q.renewMarker(assignment, permission.Tokens.Last)
 	}
 }
 
 // renewMarker requests that an assignment's marker be stored again. The generation was raised after the
-// marker was stored, and the marker must contain the fencing token that the start is sent with.
-func (q *Queue) renewMarker(assignment *workload.Assignment, fencingToken ids.Generation) {
-	assignment.FencingToken = fencingToken
+// marker was stored, and the marker must bound the fencing token that the start is sent with.
+func (q *Queue) renewMarker(assignment *workload.Assignment, generation ids.Generation) {
+	assignment.FencingToken = generation
 	q.jobs.MarkChanged(assignment.Job)
 	q.jobs.MarkUrgent(assignment.Job)
 	assignment.MarkerVersion = assignment.Job.Version
--- a/internal/election/campaign.go
+++ b/internal/election/campaign.go
@@ -24,8 +24,9 @@
 // acquiredLeadership is the result of a successful campaign.
 type acquiredLeadership struct {
 	previous   commit.GenerationRecord // zero if the shard had no leader before
-	generation ids.Generation
-	writer     string // identifies the writes of this term
+	tokens     ids.TokenRange
+	generation ids.Generation // the last of the tokens
+	writer     string         // identifies the writes of this term
 	lease      ids.Lease
 	grantedAt  time.Time    // when the grant of the lease was requested
 	revision   ids.Revision // of the stored generation
@@ -46,11 +47,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("grant leader lease: %w", err)
 	}
-	generation := previous.Generation + 1
+	tokens := ids.ReserveTokens(previous.Generation)
 	acquired := &acquiredLeadership{
 		previous:   previous,
-		generation: generation,
-		writer:     fmt.Sprintf("%s/%d", c.incarnation, generation),
+		tokens:     tokens,
+		generation: tokens.Last,
+		writer:     fmt.Sprintf("%s/%d", c.incarnation, tokens.Last),
 		lease:      lease,
 		grantedAt:  grantedAt,
 	}
--- a/internal/election/heartbeats.go
+++ b/internal/election/heartbeats.go
@@ -21,8 +21,7 @@
 	if !term.awaitLoaded(ctx, heartbeatLoadTimeout) || !term.authority.mayAnswerHeartbeats() {
 		return rejectHeartbeat()
 	}
-	generation := term.Cluster.Generation()
-	if report.FencingToken > generation {
+	if report.FencingToken > term.Cluster.Generation() {
 		// The worker knows a newer leader. It would discard this node's response but keep reporting to this
 		// node, so the heartbeat is rejected.
 		e.stepDown(term, "a worker has seen a higher fencing token")
@@ -31,11 +30,11 @@
 	if term.Cluster.LeaseMustExpire(report, e.settings.LeaderGracePeriod().Duration()) {
 		return rejectHeartbeat()
 	}
-	commands := term.Cluster.ReconcileHeartbeat(report, true, true)
-	if commands == nil {
-		commands = []worker.Command{} // encoded as an empty list, not as null
+	response := term.Cluster.ReconcileHeartbeat(report, true, true)
+	if response.Commands == nil {
+		response.Commands = []worker.Command{} // encoded as an empty list, not as null
 	}
-	return &worker.CommandBatch{FencingToken: generation, Commands: commands}, http.StatusOK, worker.Redirect{}
+	return &response, http.StatusOK, worker.Redirect{}
 }
 
 // redirectHeartbeat redirects a worker to the leader, or rejects the heartbeat if no leader is known.
--- a/internal/election/term.go
+++ b/internal/election/term.go
@@ -85,7 +85,7 @@
 // expired.
 func (e *Elector) newClusterState(acquired *acquiredLeadership, now time.Time) *clusterstate.State {
 	trustSilence := now.Add(e.settings.LeaderGracePeriod().WithClockDrift() + e.settings.Params.Workers.LeaseS.WithClockDrift())
-	cluster := clusterstate.NewShard(e.settings, acquired.writer, acquired.generation, trustSilence, e.shard)
+	cluster := clusterstate.NewShard(e.settings, acquired.writer, acquired.tokens, trustSilence, e.shard)
 	cluster.StatusInOtherShard = e.changes.statusInOtherShard
 	cluster.StoreAvailable = newStoreAvailabilityCheck(e.settings, e.store)
 	return cluster
--- a/internal/eviction/evictor.go
+++ b/internal/eviction/evictor.go
@@ -61,8 +61,8 @@
 	Capacity  *capacity.Index
 	Estimates *estimate.Estimator
 	Scheduler *scheduler.Scheduler
-	// FirstGeneration is the fencing token at the beginning of the term.
-	FirstGeneration ids.Generation
+	// FirstToken is the first fencing token of the term.
+	FirstToken ids.Generation
 	// Lock is the cluster state's lock, which View takes.
 	Lock sync.Locker
 }
--- a/internal/eviction/permits.go
+++ b/internal/eviction/permits.go
@@ -144,7 +144,7 @@
 // sent none; stops of earlier leaders are rejected once the machine has seen this term's fencing token.
 func (p *permitTracker) earlierStopPossible(assignment *workload.Assignment) bool {
 	machine := p.Machines.Machines[assignment.Machine]
-	return machine == nil || !machine.HasReported || machine.FencingToken < p.FirstGeneration || !assignment.Confirmed
+	return machine == nil || !machine.HasReported || machine.FencingToken < p.FirstToken || !assignment.Confirmed
 }
 
 // stopStored stops the tasks whose permits are stored, if the budgets still allow it.
--- a/internal/ids/ids.go
+++ b/internal/ids/ids.go
@@ -30,10 +30,23 @@
 // Attempt numbers the starts of a job's tasks. Within a job it only increases.
 type Attempt uint64
 
-// Generation is incremented at each failover of a shard's leadership. Workers receive it as the fencing
-// token of the leader's commands.
+// Generation only rises. The stored generation of a shard is the last fencing token that its leader may
+// use; see TokenRange.
 type Generation uint64
 
+// TokenRange contains the fencing tokens that a leader may use for its commands. A leader reserves a range
+// by storing its last token as the generation, so that every token of the next leader is higher.
+type TokenRange struct{ First, Last Generation }
+
+// tokensPerRange is the number of fencing tokens that a leader reserves at a time. A machine uses at most
+// two in a second.
+const tokensPerRange = 1 << 20
+
+// ReserveTokens returns the next range after a stored generation, which is 0 if none is stored.
+func ReserveTokens(stored Generation) TokenRange {
+	return TokenRange{First: stored + 1, Last: stored + tokensPerRange}
+}
+
 // Incarnation numbers the incarnations of a worker; a new one begins whenever the worker's lease expires.
 type Incarnation uint64
 
--- a/internal/reconcile/orphans.go
+++ b/internal/reconcile/orphans.go
@@ -44,9 +44,6 @@
 		}
 		delete(job.RecordedOutcomes, reported.key)
 	}
-	if reported.machine.MayRestart(reported.Task, reported.Attempt) {
-		return nil // once the outcome is cleared, a start that arrives late would run the task again
-	}
 	return []worker.Command{worker.ClearCommand(reported.Task, reported.Attempt)}
 }
 
--- a/internal/reconcile/reconciler.go
+++ b/internal/reconcile/reconciler.go
@@ -4,8 +4,8 @@
 // Reconciler is the entry point. It delegates to machineTracker for the state of the machine,
 // taskReconciler for the tasks in a report, orphanReconciler for tasks that match no assignment,
 // outcomeRecorder for the outcomes of attempts, failureTracker for backoff and for machines on which tasks
-// keep failing, lossRecorder for lost tasks, and responseBuilder for the commands in the response to a
-// heartbeat.
+// keep failing, lossRecorder for lost tasks, responseBuilder for the commands in the response to a
+// heartbeat, and fencer for the fencing token of that response.
 //
 // The package has no lock of its own. Every method is called with the lock of the cluster state held, and
 // so are the methods of Cluster.
@@ -47,6 +47,8 @@
 	HintChanged(machine *worker.Machine)
 	// RequestPlan requests a planning pass.
 	RequestPlan()
+	// ReserveTokens requests that the leader reserve further fencing tokens.
+	ReserveTokens()
 }
 
 // State is the part of the shard's state that reconciliation reads and changes.
@@ -58,8 +60,8 @@
 	Estimates *estimate.Estimator
 	Commands  *dispatch.Queue
 	Costs     *costs.Account
-	// FirstGeneration is the fencing token at the beginning of the term.
-	FirstGeneration ids.Generation
+	// FirstToken is the first fencing token of the term.
+	FirstToken ids.Generation
 }
 
 // Reconciler reconciles the reports that a leader receives in one term.
@@ -70,6 +72,7 @@
 	tasks     *taskReconciler
 	losses    *lossRecorder
 	responses *responseBuilder
+	fencing   *fencer
 }
 
 // New returns the Reconciler of one term.
@@ -85,6 +88,7 @@
 		tasks:     &taskReconciler{State: shared, cluster: cluster, outcomes: outcomes, failures: failures, orphans: orphans},
 		losses:    &lossRecorder{State: shared, cluster: cluster},
 		responses: &responseBuilder{shared},
+		fencing:   &fencer{cluster},
 	}
 }
 
@@ -103,29 +107,33 @@
 // KiB. The other commands are sent after the next report.
 const maxCommandsPerResponse = 400
 
-// Report reconciles a worker's report and returns the commands to send in the response if the report is a
-// heartbeat.
-func (r *Reconciler) Report(report *worker.Report, source Source, permission dispatch.Permission, now time.Time) []worker.Command {
+// Report reconciles a worker's report and returns the response to send if the report is a heartbeat.
+func (r *Reconciler) Report(report *worker.Report, source Source, permission dispatch.Permission, now time.Time) worker.CommandBatch {
 	machine := r.machines.ensure(report, source, now)
 	before := r.machines.snapshot(machine, report, now)
-	result := r.Machines.RecordReport(machine, report, now, source.Answered, permission.FencingToken)
+	result := r.Machines.RecordReport(machine, report, now, source.Answered, r.FirstToken)
 	if !result.Fresh {
 		if report.Incarnation != machine.Incarnation {
-			return nil
+			return worker.CommandBatch{FencingToken: machine.CommandToken(permission.Tokens)}
 		}
 		// The response to a command may arrive before a heartbeat that was sent earlier. The response to
 		// that heartbeat still renews the lease, so it must contain the stops.
 		permission.Starts = false
-		return r.responses.commands(machine, source, permission, now)
+		commands := r.responses.commands(machine, source, permission, now)
+		return worker.CommandBatch{FencingToken: machine.CommandToken(permission.Tokens), Commands: commands}
 	}
 	r.machines.applyReport(machine, before, result.Restarted, now)
 	r.dropEarlierIncarnations(machine, report)
 	listed := make(map[workload.TaskAttempt]bool, len(report.Tasks))
-	commands := r.tasks.reconcile(machine, report, listed, permission.FencingToken, now)
-	r.reconcileMissing(machine, report, source, listed)
+	commands := r.tasks.reconcile(machine, report, listed, permission.Tokens.Last, now)
+	unproven := r.reconcileMissing(machine, report, source, listed)
 	r.queueUnsentStarts(machine)
 	commands = append(commands, r.responses.commands(machine, source, permission, now)...)
-	return commands[:min(len(commands), maxCommandsPerResponse)]
+	commands = commands[:min(len(commands), maxCommandsPerResponse)]
+	if source.Heartbeat {
+		commands = r.fencing.fence(machine, commands, unproven, permission.Tokens)
+	}
+	return worker.CommandBatch{FencingToken: machine.CommandToken(permission.Tokens), Commands: commands}
 }
 
 // dropEarlierIncarnations removes the assignments to earlier incarnations of a worker. The worker dropped
@@ -146,16 +154,20 @@
 }
 
 // reconcileMissing marks a task as lost if it is assigned to a machine, is missing from the machine's
-// report and can no longer start.
+// report and can no longer start. It reports whether a missing task could still be started by a copy of a
+// direct command.
 func (r *Reconciler) reconcileMissing(
 	machine *worker.Machine, report *worker.Report, source Source, listed map[workload.TaskAttempt]bool,
-) {
+) (unproven bool) {
+	rejectsCopies := report.FencingToken >= r.FirstToken && machine.RejectsDirectCommands(report.FencingToken)
 	for assignment := range r.Capacity.AssignmentsOn(machine.Name) {
 		if listed[assignment.Key()] || !assignment.StartSent || assignment.Incarnation != report.Incarnation {
 			continue
 		}
 		offeredBefore := source.Heartbeat && report.Sequence > assignment.OfferedAt
 		switch {
+		case assignment.Confirmed && !rejectsCopies:
+			unproven = true
 		case assignment.Confirmed:
 			r.MarkLost(assignment, "its worker reports it no longer")
 		case assignment.FencingToken < report.FencingToken:
@@ -167,6 +179,7 @@
 			r.MarkLost(assignment, "its start was dropped")
 		}
 	}
+	return unproven
 }
 
 // queueUnsentStarts queues the starts on a machine that may have waited for this report.
--- a/internal/reconcile/response.go
+++ b/internal/reconcile/response.go
@@ -46,7 +46,7 @@
 // heartbeat.
 func (b *responseBuilder) mayStart(assignment *workload.Assignment, machine *worker.Machine, permission dispatch.Permission) bool {
 	job := assignment.Job
-	if !permission.MayStart(job) || assignment.Confirmed || assignment.FencingToken != permission.FencingToken {
+	if !permission.MayStart(job) || assignment.Confirmed || assignment.FencingToken != permission.Tokens.Last {
 		return false
 	}
 	if job.StoredVersion < assignment.MarkerVersion || machine.Deleting {
--- a/internal/reconcile/tasks.go
+++ b/internal/reconcile/tasks.go
@@ -63,7 +63,7 @@
 // valid.
 func (t *taskReconciler) mayPredateRecord(reported *reportedTask, report *worker.Report) bool {
 	done := reported.exited() && reported.Cause == worker.CauseDone
-	return reported.job.Record.Spec.JobType == record.Gang && report.FencingToken < t.FirstGeneration && !done
+	return reported.job.Record.Spec.JobType == record.Gang && report.FencingToken < t.FirstToken && !done
 }
 
 // reconcileAssigned processes a reported task that matches an assignment. It reports whether the task needs
--- a/internal/worker/machine.go
+++ b/internal/worker/machine.go
@@ -13,6 +13,7 @@
 	Identity
 	Liveness
 	Reachability
+	Fencing
 	Provisioning
 	Availability
 	Hints
@@ -66,6 +67,41 @@
 	Incarnation  ids.Incarnation
 }
 
+// Fencing is the state of the fencing tokens of this leader's commands to a machine. A worker executes a copy
+// of direct commands, however late it arrives, until it has seen a higher token.
+type Fencing struct {
+	raisedToken     ids.Generation // token of commands, if it was raised for this machine
+	lastDirectToken ids.Generation // highest token of direct commands sent to it
+}
+
+// CommandToken returns the fencing token of commands to the machine; tokens are the leader's.
+func (f *Fencing) CommandToken(tokens ids.TokenRange) ids.Generation {
+	return max(f.raisedToken, tokens.First)
+}
+
+// RecordDirectCommands records that direct commands are sent to the machine with a fencing token.
+func (f *Fencing) RecordDirectCommands(token ids.Generation) {
+	f.lastDirectToken = max(f.lastDirectToken, token)
+}
+
+// RaiseToken makes CommandToken return a token higher than that of every direct command sent to the machine,
+// and reports whether the leader has such a token. The caller must send the token in the response to a
+// heartbeat: since a worker awaits one response at a time, it never gets a response with a lower token
+// later, which it would drop without renewing its lease.
+func (f *Fencing) RaiseToken(tokens ids.TokenRange) bool {
+	if f.lastDirectToken >= tokens.Last {
+		return false
+	}
+	if f.lastDirectToken >= f.CommandToken(tokens) {
+		f.raisedToken = f.lastDirectToken + 1
+	}
+	return true
+}
+
+// RejectsDirectCommands reports whether a worker that has seen a fencing token rejects every copy of the
+// direct commands that this leader has sent to it.
+func (f *Fencing) RejectsDirectCommands(seen ids.Generation) bool { return seen > f.lastDirectToken }
+
 // Provisioning is the state of a machine as an instance of the cloud.
 type Provisioning struct {
 	DiscoveredAt    time.Time // when this leader first learned of it
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -66,7 +66,7 @@
 // RecordReport updates a machine's state by a report. answered is true if the worker gets status 200 for
 // it, which renews its lease from the time when the report was sent. That time is not after now, so the
 // lease expires at most one lease duration from now.
-// leaderToken is the current leader's fencing token: a worker that has seen it ignores the responses of
+// leaderToken is the first fencing token of the current leader's term: a worker that has seen it ignores the responses of
 // all earlier leaders, so that only responses of this leader renew its lease.
 func (r *Registry) RecordReport(machine *Machine, report *Report, now time.Time, answered bool, leaderToken ids.Generation) ReportResult {
 	expiry := now.Add(r.lease.WithClockDrift())
--- a/internal/workload/assignment.go
+++ b/internal/workload/assignment.go
@@ -20,7 +20,7 @@
 	Machine     ids.Machine
 	Incarnation ids.Incarnation // of the worker to which the start command is sent
 	Attempt     ids.Attempt
-	// FencingToken is the token that is sent with the start command.
+	// FencingToken is the highest token that the start command may have been sent with.
 	FencingToken ids.Generation
 	AssignedAt   time.Time
 
