Scenarios: copies of every kind of request, and machines that are back within a second

Every request that changes something (commands, heartbeats, users' requests, transactions, lease calls, all) arrives once more up to 100 s after it was executed, while jobs of all types come, fail, end and are cancelled, with and without restarts of controllers.

--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -271,6 +271,13 @@
 	return tasks
 }
 
+// FencingToken returns the highest fencing token received from a leader, 0 before the first.
+func (w *Worker) FencingToken() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.token
+}
+
 // ExecutedStarts returns a copy of Starts.
 func (w *Worker) ExecutedStarts() []string {
 	w.mu.Lock()
--- a/internal/scenarios/late_copies_test.go
+++ b/internal/scenarios/late_copies_test.go
@@ -1,6 +1,7 @@
 package scenarios
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"testing"
@@ -91,3 +92,72 @@
 		})
 	}
 }
+
+// restartWorkerEmpty ends a machine's worker with all its tasks, and starts another one under the same name.
+// The new one knows nothing: its incarnation, sequence number and fencing token begin again.
+func (c *testCluster) restartWorkerEmpty(name string, downtime time.Duration) {
+	old := c.workerNamed(name)
+	old.Terminate()
+	c.mu.Lock()
+	c.workers = slices.DeleteFunc(c.workers, func(worker *fake.Worker) bool { return worker == old })
+	c.mu.Unlock()
+	time.Sleep(downtime)
+	c.startWorker(name, old.Zone)
+}
+
+// TestCopiesDoNotRevivePastTasksOnMachineThatReturns checks that copies of direct commands start no task
+// that has ended or moved on a machine that is back within a second, hung or with an empty worker. Before a
+// leader has answered an empty worker, no controller can keep it from executing a copy.
+func TestCopiesDoNotRevivePastTasksOnMachineThatReturns(t *testing.T) {
+	t.Parallel()
+	hang := func(c *testCluster) {
+		c.workerNamed("m1").SetHung(true)
+		time.Sleep(800 * time.Millisecond)
+		c.workerNamed("m1").SetHung(false)
+	}
+	empty := func(c *testCluster) { c.restartWorkerEmpty("m1", 300*time.Millisecond) }
+	for _, test := range []struct {
+		name     string
+		away     func(c *testCluster)
+		failover bool
+	}{
+		{"hung", hang, false},
+		{"hung, new leader", hang, true},
+		{"empty worker", empty, false},
+		{"empty worker, new leader", empty, true},
+	} {
+		for _, copiesAfter := range []time.Duration{2 * time.Second, 20 * time.Second, 90 * time.Second} {
+			parallelScenario(t, fmt.Sprint(test.name, ", copies after ", copiesAfter), func(t *testing.T, c *testCluster) {
+				c.startPair()
+				time.Sleep(300 * time.Millisecond) // between heartbeats, so that starts are sent directly
+				c.duplicateCommands()
+				c.submit("a", newJob("job-1", "standing", 4))
+				c.submit("a", newJob("job-2", "array", 2))
+				c.awaitRunning(4*time.Second, "job-1", 4)
+				c.awaitRunning(4*time.Second, "job-2", 2)
+				c.completeJob("job-2")
+				c.workerNamed("m1").EndTask("job-1/0", "error")
+				c.passTime(20 * time.Second)
+				c.awaitRunning(60*time.Second, "job-1", 4)
+				c.submit("a", newJob("job-3", "standing", 2))
+				c.awaitRunning(4*time.Second, "job-3", 2)
+				test.away(c)
+				if test.failover {
+					c.leader().kill()
+				}
+				c.eventually(20*time.Second, "a leader has answered it", func() bool { return c.workerNamed("m1").FencingToken() > 0 })
+				c.passTime(copiesAfter)
+				c.network.SetRule(nil)
+				c.network.ReleaseHeld()
+				c.passTime(20 * time.Second)
+				c.awaitRunning(60*time.Second, "job-1", 4)
+				c.awaitRunning(60*time.Second, "job-3", 2)
+				for _, task := range []string{"job-2/0", "job-2/1"} {
+					if starts := c.workerNamed("m1").StartCount(task) + c.workerNamed("m2").StartCount(task); starts > 1 {
+						t.Errorf("%s of the completed job was started %d times", task, starts)
+					}
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/scenarios/random_copies_test.go
@@ -0,0 +1,137 @@
+package scenarios
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/fake"
+)
+
+// copiedRequests selects the requests of which copies arrive again.
+type copiedRequests struct {
+	name    string
+	matches func(from string, r *http.Request) bool
+}
+
+// kindsOfCopiedRequests are all kinds of requests that change something.
+var kindsOfCopiedRequests = []copiedRequests{
+	{"commands", func(_ string, r *http.Request) bool { return r.URL.Path == "/commands" }},
+	{"heartbeats", func(_ string, r *http.Request) bool { return isHeartbeat(r) }},
+	{"users' requests", func(from string, _ *http.Request) bool { return from == "user" }},
+	{"transactions", func(_ string, r *http.Request) bool { return isCommit(r) }},
+	{"lease calls", func(_ string, r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/holds") }},
+	{"all", func(string, *http.Request) bool { return true }},
+}
+
+// TestCopiesOfExecutedRequestsBreakNoRule checks that no rule is broken when every executed request of a
+// kind arrives once more, up to 100 s later, while jobs of all types come, fail, end and are cancelled.
+func TestCopiesOfExecutedRequestsBreakNoRule(t *testing.T) {
+	t.Parallel()
+	for seed := range seeds(1) {
+		for _, kind := range kindsOfCopiedRequests {
+			for _, restarts := range []bool{false, true} {
+				parallelScenario(t, fmt.Sprint(kind.name, ", restarts ", restarts, ", seed ", seed), func(t *testing.T, c *testCluster) {
+					c.playWithCopies(newRandomSource(seed), kind, restarts)
+				})
+			}
+		}
+	}
+}
+
+// playWithCopies plays three minutes with copies, and then waits until every job has ended.
+func (c *testCluster) playWithCopies(random *randomSource, kind copiedRequests, restarts bool) {
+	const jobs, duration = 36, 3 * time.Minute
+	c.cloudListsMachines = true
+	c.startNode("a")
+	c.startNode("b")
+	c.startWorkers("north", "south", "north", "south")
+	c.setRandomLatency(random)
+	c.network.SetDelay(func() time.Duration { return random.milliseconds(20, 100000) })
+	c.network.SetRule(func(from, _ string, r *http.Request, _ []byte) fake.Outcome {
+		if r.Method != http.MethodGet && kind.matches(from, r) {
+			return fake.DuplicateLate
+		}
+		return fake.Deliver
+	})
+	done, quiet := make(chan struct{}), make(chan struct{})
+	var beside, users sync.WaitGroup
+	beside.Go(func() { c.completeTasksUntil(done, random, 3000, 20000) })
+	beside.Go(func() { c.failTasksUntil(quiet, random) })
+	if restarts {
+		beside.Go(func() { c.restartNodesUntil(quiet, random) })
+	}
+	for i := range jobs {
+		users.Go(func() {
+			job := newJob(fmt.Sprintf("job-%d", i+1), []string{"array", "gang", "standing"}[i%3], 1+random.intn(3))
+			time.Sleep(time.Duration(i) * duration / jobs)
+			c.requestUntilDecided(random, "POST", "/v2/runs", job)
+			if i%3 == 2 || random.intn(3) == 0 {
+				time.Sleep(random.milliseconds(0, 30000))
+				c.requestUntilDecided(random, "POST", "/v2/runs/"+job.id()+"/cancel", nil)
+			}
+			c.askAllNodes(random, job)
+		})
+	}
+	users.Wait()
+	close(quiet)
+	for i := range jobs {
+		c.awaitAgreement(4*time.Minute, fmt.Sprintf("job-%d", i+1))
+	}
+	c.passTime(2 * time.Minute) // until the last copies have arrived
+	close(done)
+	beside.Wait()
+}
+
+// failTasksUntil ends a random running task with an error every few seconds, until the channel is closed.
+// The other tasks of its job end with it if the job is a gang.
+func (c *testCluster) failTasksUntil(stop <-chan struct{}, random *randomSource) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-c.ctx.Done():
+			return
+		case <-time.After(random.milliseconds(1000, 5000)):
+		}
+		machine := c.listWorkers()[random.intn(len(c.listWorkers()))]
+		tasks := machine.ActiveTasks()
+		if len(tasks) == 0 {
+			continue
+		}
+		failed := tasks[random.intn(len(tasks))]
+		machine.EndTask(failed, "error")
+		job, _, _ := strings.Cut(failed, "/")
+		for _, worker := range c.listWorkers() {
+			for _, task := range worker.ActiveTasks() {
+				if strings.HasPrefix(task, job+"/") && random.intn(2) == 0 {
+					worker.EndTask(task, "peers")
+				}
+			}
+		}
+	}
+}
+
+// restartNodesUntil restarts a random node every few seconds, until the channel is closed.
+func (c *testCluster) restartNodesUntil(stop <-chan struct{}, random *randomSource) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-c.ctx.Done():
+			return
+		case <-time.After(random.milliseconds(5000, 30000)):
+		}
+		c.mu.Lock()
+		node := c.nodes[random.node()]
+		c.mu.Unlock()
+		if node != nil {
+			node.kill()
+			time.Sleep(random.milliseconds(100, 5000))
+			c.startNode(node.name)
+		}
+	}
+}
--- a/internal/scenarios/random_faults_test.go
+++ b/internal/scenarios/random_faults_test.go
@@ -15,7 +15,7 @@
 // state service and its peer. Some jobs depend on others.
 func TestTwoConcurrentRandomFaultsBreakNoRule(t *testing.T) {
 	t.Parallel()
-	for seed := range uint64(4) {
+	for seed := range seeds(4) {
 		parallelScenario(t, fmt.Sprint(seed), func(t *testing.T, c *testCluster) {
 			random := newRandomSource(seed)
 			c.cloudListsMachines = true
--- a/internal/scenarios/random_test.go
+++ b/internal/scenarios/random_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -32,3 +34,12 @@
 
 // node returns the name of a random node.
 func (s *randomSource) node() string { return nodeNames[s.intn(2)] }
+
+// seeds returns the number of seeds that a random test plays: usual, or SCENARIO_SEEDS for a long run by
+// hand.
+func seeds(usual uint64) uint64 {
+	if count, err := strconv.ParseUint(os.Getenv("SCENARIO_SEEDS"), 10, 32); err == nil {
+		return count
+	}
+	return usual
+}
