Logs show under which token each start, stop and clear was sent, and on which report

The records of the incident show neither the start nor the end nor the clear of the task in the leader's output, nor which token it used. Added: failures of tasks at the usual level with the report that showed them; first token, generation and store revision of a term; what is known of a task that matches no assignment, and a count of such tasks. At debug: each batch of direct commands with its outcome, each response with commands. No behaviour changes.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
@@ -88,6 +89,8 @@
 // send sends a batch and records its outcome.
 func (d *Dispatcher) send(ctx context.Context, batch Batch) {
 	outcome, report := d.commander.Send(ctx, batch.Address, batch.FencingToken, batch.Incarnation, batch.Commands)
+	slog.Debug("direct commands sent", "machine", batch.Machine, "token", batch.FencingToken, "incarnation", batch.Incarnation,
+		"commands", batch.Commands, "outcome", outcome)
 	<-d.slots
 	d.cluster.RecordBatchOutcome(batch, outcome)
 	if report != nil && report.Machine == batch.Machine {
--- a/internal/election/record_loading.go
+++ b/internal/election/record_loading.go
@@ -48,7 +48,7 @@
 		term.Cluster.LoadWaitingJobs(jobs.waiting, jobs.revisions, time.Now())
 		close(term.loaded)
 		slog.Info("records loaded", "shard", l.shard, "term", term.Generation, "jobs", len(jobs.records), "waiting", len(jobs.waiting),
-			"requests", len(term.OpenProvisioningRequests))
+			"requests", len(term.OpenProvisioningRequests), "revision", storeRevision)
 		return true
 	}
 	return false
--- a/internal/election/term.go
+++ b/internal/election/term.go
@@ -51,7 +51,7 @@
 	term.cancel = cancel
 	e.store.Budget().RecordLeadershipChange(true)
 	e.current.begin(term, now)
-	slog.Info("leadership acquired", "shard", e.shard, "term", term.Generation, "node", e.settings.HostName)
+	slog.Info("leadership acquired", "shard", e.shard, "term", term.Generation, "firstToken", acquired.tokens.First, "node", e.settings.HostName)
 	go func() {
 		if e.loader.load(termCtx, term) {
 			e.runTerm(termCtx, term)
--- a/internal/reconcile/fencing.go
+++ b/internal/reconcile/fencing.go
@@ -27,12 +27,12 @@
 	}
 	before := machine.CommandToken(tokens)
 	if !machine.RaiseToken(tokens) {
+		slog.Info("no fencing token left for a machine, reserving others", "machine", machine.Name, "token", before)
 		f.cluster.ReserveTokens()
 		return slices.DeleteFunc(commands, isClear)
 	}
-	if token := machine.CommandToken(tokens); token > before {
+	if machine.CommandToken(tokens) > before {
 		measure.Default.Count("machine tokens raised", 1)
-		slog.Debug("raised fencing token of a machine", "machine", machine.Name, "token", token, "incarnation", machine.Incarnation)
 	}
 	return commands
 }
--- a/internal/reconcile/orphans.go
+++ b/internal/reconcile/orphans.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/measure"
 	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 	"github.com/pebbletrail/pebbletrail/internal/workload"
@@ -28,10 +29,26 @@
 		o.adopt(reported, fencingToken)
 		return nil
 	}
-	slog.Info("stopping reported task that matches no assignment", "task", reported.Task, "attempt", reported.Attempt, "machine", reported.machine.Name)
+	logOrphan(reported)
 	return []worker.Command{worker.StopCommand(reported.Task, reported.Attempt, 0)}
 }
 
+// logOrphan logs a reported task that matches no assignment, with what is known of its job.
+func logOrphan(reported *reportedTask) {
+	status, assignedTo := record.Status("unknown"), ids.Machine("")
+	if job := reported.job; job != nil {
+		status = job.Record.Status
+		if assignment := job.Assignments[reported.index()]; assignment != nil {
+			assignedTo = assignment.Machine
+		}
+	}
+	machine := reported.machine
+	measure.Default.Count("tasks without assignment stopped", 1)
+	slog.Info("stopping reported task that matches no assignment", "task", reported.Task, "attempt", reported.Attempt, "machine", machine.Name,
+		"status", reported.State, "job", status, "assignedTo", assignedTo,
+		"reportToken", machine.FencingToken, "reportIncarnation", machine.Incarnation, "reportSequence", machine.Sequence)
+}
+
 // clearOutcome returns the command that makes a worker clear the outcome of an exited task, once that
 // outcome is stored.
 func (o *orphanReconciler) clearOutcome(reported *reportedTask) []worker.Command {
--- a/internal/reconcile/outcomes.go
+++ b/internal/reconcile/outcomes.go
@@ -1,6 +1,8 @@
 package reconcile
 
 import (
+	"context"
+	"log/slog"
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/record"
@@ -23,6 +25,7 @@
 	job, task, machine := assignment.Job, assignment.TaskIndex, reported.machine
 	key := assignment.Key()
 	o.cluster.RemoveAssignment(assignment)
+	logOutcome(assignment, reported)
 	if job.Ended {
 		return
 	}
@@ -48,6 +51,18 @@
 	o.markRecorded(job, key)
 }
 
+// logOutcome logs the end of a task; at the usual level only if the task failed.
+func logOutcome(assignment *workload.Assignment, reported *reportedTask) {
+	level := slog.LevelDebug
+	if reported.Cause == worker.CauseError || reported.Cause == worker.CauseNoSuch {
+		level = slog.LevelInfo
+	}
+	machine := reported.machine
+	slog.Log(context.Background(), level, "task ended", "task", assignment.Task(), "attempt", assignment.Attempt, "machine", machine.Name,
+		"cause", reported.Cause, "generation", assignment.FencingToken,
+		"reportToken", machine.FencingToken, "reportIncarnation", machine.Incarnation, "reportSequence", machine.Sequence)
+}
+
 // markRecorded records that a job's record contains an outcome from its current version on.
 func (o *outcomeRecorder) markRecorded(job *workload.Job, key workload.TaskAttempt) {
 	o.cluster.MarkChanged(job)
--- a/internal/reconcile/reconciler.go
+++ b/internal/reconcile/reconciler.go
@@ -12,6 +12,7 @@
 package reconcile
 
 import (
+	"log/slog"
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/capacity"
@@ -133,7 +134,12 @@
 	if source.Heartbeat {
 		commands = r.fencing.fence(machine, commands, unproven, permission.Tokens)
 	}
-	return worker.CommandBatch{FencingToken: machine.CommandToken(permission.Tokens), Commands: commands}
+	token := machine.CommandToken(permission.Tokens)
+	if source.Heartbeat && len(commands) > 0 {
+		slog.Debug("heartbeat answered with commands", "machine", machine.Name, "token", token, "incarnation", report.Incarnation,
+			"sequence", report.Sequence, "reportToken", report.FencingToken, "commands", commands)
+	}
+	return worker.CommandBatch{FencingToken: token, Commands: commands}
 }
 
 // dropEarlierIncarnations removes the assignments to earlier incarnations of a worker. The worker dropped
--- a/internal/worker/commander.go
+++ b/internal/worker/commander.go
@@ -28,6 +28,21 @@
 	OutcomeUnknown
 )
 
+// String returns the name of the outcome, for log lines.
+func (o Outcome) String() string {
+	switch o {
+	case Executed:
+		return "executed"
+	case Rejected:
+		return "rejected"
+	case NotSent:
+		return "not sent"
+	case OutcomeUnknown:
+		return "unknown"
+	}
+	return "invalid"
+}
+
 // Commander sends commands directly to a worker's address, so that tasks start without waiting for the
 // next heartbeat. Commands whose outcome stays unknown are settled by the worker's heartbeats.
 type Commander struct {
--- a/internal/worker/messages.go
+++ b/internal/worker/messages.go
@@ -3,6 +3,8 @@
 package worker
 
 import (
+	"fmt"
+
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 )
 
@@ -75,6 +77,9 @@
 	GracePeriod *ids.Seconds `json:"leewayS,omitempty"`
 }
 
+// String returns the command for log lines, such as "start job-1/0@2".
+func (c Command) String() string { return fmt.Sprintf("%s %s@%d", c.Verb, c.Task, c.Attempt) }
+
 // StartCommand returns a command that starts an attempt of a task.
 func StartCommand(task ids.Task, attempt ids.Attempt) Command {
 	return Command{Verb: VerbStart, Task: task.String(), Attempt: attempt}
