--- a/internal/scenarios/cluster_test.go
+++ b/internal/scenarios/cluster_test.go
@@ -79,6 +79,7 @@
 	t                  *testing.T
 	ctx                context.Context
 	network            *fake.Network
+	copyDelay          func() time.Duration                 // after which a copy of a controller's message to the leader arrives; nil for no copies
 	latency            atomic.Pointer[func() time.Duration] // of the network; nil means no latency
 	store              *fake.Store
 	mu                 sync.Mutex
--- a/internal/scenarios/drain_failures_test.go
+++ b/internal/scenarios/drain_failures_test.go
@@ -99,6 +99,36 @@
 	})
 }
 
+// TestCopiesOfRequestsDuringDrainChangeNothing delivers every request once more, up to 100 s after it was
+// executed: commands, transactions, and the rental and deletion of machines. Later the operators' commands
+// arrive again. The drain must complete, with all replicas up and no machine left over.
+func TestCopiesOfRequestsDuringDrainChangeNothing(t *testing.T) {
+	t.Parallel()
+	drainScenario(t, 3, drainOptions{capacity: 40}, func(t *testing.T, c *drainCluster) {
+		random := newRandomSource(1)
+		c.network.SetDelay(func() time.Duration { return random.milliseconds(20, 100000) })
+		c.network.SetRule(fake.DuplicateChanges(fake.DuplicateLate, func() bool { return true }))
+		c.startService("job-1", 4)
+		drained := c.machinesIn("north")
+		c.startRollout(newRollout("spring", drained...))
+		c.awaitState("spring", rollout.Ended, 8*time.Minute)
+		c.passTime(2 * time.Minute) // until the last copies have arrived
+		c.awaitTaskCount(time.Minute, "job-1", 4)
+		if _, err := c.follower().rollouts.Start(c.ctx, newRollout("spring", drained...)); err != nil {
+			t.Errorf("a repeated start of the rollout failed: %v", err)
+		}
+		c.passTime(time.Minute)
+		if state := c.rolloutRecord("spring").State; state != rollout.Ended {
+			t.Errorf("the ended rollout is in state %v after its start arrived again", state)
+		}
+		c.awaitTaskCount(time.Minute, "job-1", 4)
+		c.awaitNoneCordoned(time.Minute)
+		if up := len(c.machinesIn("north")) + len(c.machinesIn("south")); up > 8 {
+			t.Errorf("%d machines are up, want the replicas' machines and at most a few to spare", up)
+		}
+	})
+}
+
 // TestJobCancelledDuringDrainWaveStopsInTime cancels a service once an eviction of a wave is stored.
 // The service must stop within the limit, and the rollout must complete.
 func TestJobCancelledDuringDrainWaveStopsInTime(t *testing.T) {
--- a/internal/scenarios/late_copies_test.go
+++ b/internal/scenarios/late_copies_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -161,3 +162,50 @@
 		}
 	}
 }
+
+// TestReportsOfBusyMachineStaySmall checks that outcomes are cleared soon enough for every report to stay
+// within the protocol's limit, with 64 tasks of 20 s at a time on one machine for an hour.
+func TestReportsOfBusyMachineStaySmall(t *testing.T) {
+	t.Parallel()
+	const maxBodyBytes, tasksAtATime = 64 << 10, 64
+	scenario(t, func(t *testing.T, c *testCluster) {
+		var largest, reports, commands atomic.Int64
+		c.network.SetRule(func(_, _ string, r *http.Request, body []byte) fake.Outcome {
+			switch {
+			case isHeartbeat(r):
+				reports.Add(1)
+				largest.Store(max(largest.Load(), int64(len(body))))
+			case r.URL.Path == "/commands":
+				commands.Add(1)
+			}
+			return fake.Deliver
+		})
+		c.startNode("a")
+		machine := c.startWorker("m1", "north")
+		time.Sleep(settleTime)
+		busiest, seen := 0, map[string]int{}
+		for second := range 3600 {
+			if second%20 == 0 {
+				c.submit("a", newJob(fmt.Sprintf("job-%d", second), "array", tasksAtATime).with("cores", 4.0/tasksAtATime, "ramGb", 0.1))
+			}
+			time.Sleep(time.Second)
+			active := machine.ActiveTasks()
+			busiest = max(busiest, len(active))
+			for _, task := range active {
+				if seen[task] == 0 {
+					seen[task] = second
+				} else if second-seen[task] >= 20 {
+					machine.EndTask(task, "done")
+				}
+			}
+		}
+		starts := len(machine.ExecutedStarts())
+		t.Logf("%d starts, %d reports, %d direct commands, largest report %d bytes", starts, reports.Load(), commands.Load(), largest.Load())
+		if busiest != tasksAtATime || starts < 3600/20*tasksAtATime/2 {
+			t.Errorf("at most %d tasks at a time, %d in an hour", busiest, starts)
+		}
+		if largest.Load() > maxBodyBytes {
+			t.Errorf("a report has %d bytes, want at most %d", largest.Load(), maxBodyBytes)
+		}
+	})
+}
--- a/internal/scenarios/node_test.go
+++ b/internal/scenarios/node_test.go
@@ -82,6 +82,13 @@
 // NotifyLeader passes a written record to the electors of this node and of all nodes that it can
 // reach: at once if this node leads, else after the network's latency.
 func (n *testNode) NotifyLeader(id ids.Job, revision ids.Revision, rec *record.Record, raw json.RawMessage) <-chan struct{} {
+	if delay := n.cluster.copyDelay; delay != nil {
+		time.AfterFunc(delay(), func() {
+			if copied, err := record.Decode(raw); err == nil {
+				n.deliverRecord(id, revision, copied)
+			}
+		})
+	}
 	done := make(chan struct{})
 	if latency := n.cluster.latency.Load(); latency != nil && n.elector.Cluster() == nil {
 		go func() {
--- a/internal/scenarios/random_copies_test.go
+++ b/internal/scenarios/random_copies_test.go
@@ -11,20 +11,23 @@
 	"github.com/pebbletrail/pebbletrail/internal/fake"
 )
 
-// copiedRequests selects the requests of which copies arrive again.
+// copiedRequests selects the requests of which copies arrive again. If peers is set, that includes the
+// controllers' messages to the leader about jobs that they accepted or cancelled.
 type copiedRequests struct {
 	name    string
 	matches func(from string, r *http.Request) bool
+	peers   bool
 }
 
 // kindsOfCopiedRequests are all kinds of requests that change something.
 var kindsOfCopiedRequests = []copiedRequests{
-	{"commands", func(_ string, r *http.Request) bool { return r.URL.Path == "/commands" }},
-	{"heartbeats", func(_ string, r *http.Request) bool { return isHeartbeat(r) }},
-	{"users' requests", func(from string, _ *http.Request) bool { return from == "user" }},
-	{"transactions", func(_ string, r *http.Request) bool { return isCommit(r) }},
-	{"lease calls", func(_ string, r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/holds") }},
-	{"all", func(string, *http.Request) bool { return true }},
+	{"commands", func(_ string, r *http.Request) bool { return r.URL.Path == "/commands" }, false},
+	{"heartbeats", func(_ string, r *http.Request) bool { return isHeartbeat(r) }, false},
+	{"users' requests", func(from string, _ *http.Request) bool { return from == "user" }, false},
+	{"transactions", func(_ string, r *http.Request) bool { return isCommit(r) }, false},
+	{"lease calls", func(_ string, r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/holds") }, false},
+	{"messages to the leader", func(string, *http.Request) bool { return false }, true},
+	{"all", func(string, *http.Request) bool { return true }, true},
 }
 
 // TestCopiesOfExecutedRequestsBreakNoRule checks that no rule is broken when every executed request of a
@@ -46,11 +49,15 @@
 func (c *testCluster) playWithCopies(random *randomSource, kind copiedRequests, restarts bool) {
 	const jobs, duration = 36, 3 * time.Minute
 	c.cloudListsMachines = true
+	copyDelay := func() time.Duration { return random.milliseconds(20, 100000) }
+	if kind.peers {
+		c.copyDelay = copyDelay
+	}
 	c.startNode("a")
 	c.startNode("b")
 	c.startWorkers("north", "south", "north", "south")
 	c.setRandomLatency(random)
-	c.network.SetDelay(func() time.Duration { return random.milliseconds(20, 100000) })
+	c.network.SetDelay(copyDelay)
 	c.network.SetRule(func(from, _ string, r *http.Request, _ []byte) fake.Outcome {
 		if r.Method != http.MethodGet && kind.matches(from, r) {
 			return fake.DuplicateLate
--- a/internal/scenarios/shards_test.go
+++ b/internal/scenarios/shards_test.go
@@ -20,7 +20,8 @@
 // TestQuotaHoldsAcrossFailingShardLeaders runs three shards, each with machines for twice the quota
 // of its team, and checks the rules, including the one on quota, at each start. Jobs are submitted
 // to all nodes at the same time, and some are cancelled. Leaders crash, have their requests
-// rejected by the state service or lose responses, and once all crash.
+// rejected by the state service or lose responses, requests arrive once more up to a minute late, and once
+// all crash.
 func TestQuotaHoldsAcrossFailingShardLeaders(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(3) {
@@ -43,19 +44,25 @@
 					c.submitToAny(i, job)
 				}
 				cancelled := map[string]bool{}
-				for i := range 6 {
+				copyDelays := newRandomSource(seed)
+				c.network.SetDelay(func() time.Duration { return copyDelays.milliseconds(20, 60000) })
+				for i := range 8 {
 					time.Sleep(time.Duration(2+rng.IntN(6)) * time.Second)
 					leader := c.leaders()[rng.IntN(c.shardCount)]
 					switch {
 					case leader == "":
-					case i%3 == 0:
+					case i%4 == 0:
 						c.stopNode(leader)
 						time.Sleep(3 * time.Second)
 						c.startNode(leader)
-					case i%3 == 1:
+					case i%4 == 1:
 						c.store.RefuseCaller(leader, true)
 						time.Sleep(8 * time.Second)
 						c.store.RefuseCaller(leader, false)
+					case i%4 == 2:
+						c.network.SetRule(fake.DuplicateChanges(fake.DuplicateLate, func() bool { return true }))
+						time.Sleep(8 * time.Second)
+						c.network.SetRule(nil)
 					default:
 						c.network.SetRule(func(from, _ string, r *http.Request, _ []byte) fake.Outcome {
 							if from == leader && isCommit(r) {
