A raise that is read back under the present generation keeps the reserved tokens

Found by reading: GenerationRaised with the generation that the leader already has would have left an empty range of tokens. No path is known that does so. The test plays a range that is used up: the clear waits until further tokens are reserved, and is then sent under the first of them.

--- a/internal/clusterstate/store_changes.go
+++ b/internal/clusterstate/store_changes.go
@@ -203,11 +203,14 @@
 	}
 }
 
-// GenerationRaised records this leader's new generation.
+// GenerationRaised records this leader's new generation, and that the fencing tokens up to it are reserved.
 func (c *State) GenerationRaised(generation ids.Generation) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.tokens, c.raisePending = ids.TokenRange{First: c.generation() + 1, Last: generation}, false
+	c.raisePending = false
+	if generation > c.generation() {
+		c.tokens = ids.TokenRange{First: c.generation() + 1, Last: generation}
+	}
 	for _, node := range c.capacity.Nodes() {
 		if len(node.Assignments) > 0 {
 			c.commands.Add(node) // the markers of starts that were not sent yet must carry the new token
--- a/internal/clusterstate/store_changes_test.go
+++ b/internal/clusterstate/store_changes_test.go
@@ -60,6 +60,32 @@
 	}
 }
 
+func TestClearWaitsUntilFurtherTokensAreReserved(t *testing.T) {
+	t.Parallel()
+	now := time.Now()
+	cluster := newTestState()
+	cluster.tokens.Last = cluster.tokens.First
+	cluster.heartbeat("m1", "north", 1)
+	cluster.submit(1, newRecord("job-1", "blue", record.Normal, 1, 1), now)
+	cluster.Plan(now)
+	cluster.markAllStored()
+	cluster.NextBatches(1)
+	cluster.answerCommands()
+	done := newExitedStatus("job-1/0", worker.CauseDone)
+	cluster.heartbeat("m1", "north", 2, done)
+	cluster.markAllStored()
+	if commands := cluster.heartbeat("m1", "north", 3, done); len(commands) != 0 || !cluster.raisePending {
+		t.Fatalf("the heartbeat was answered with %v, further tokens requested: %v", commands, cluster.raisePending)
+	}
+	cluster.GenerationRaised(cluster.generation() + 9)
+	if commands := cluster.heartbeat("m1", "north", 4, done); len(commands) != 1 || commands[0].Verb != "clear" {
+		t.Errorf("the heartbeat was answered with %v after tokens were reserved, want one clear", commands)
+	}
+	if token := cluster.machines.Machines["m1"].CommandToken(cluster.tokens); token != testGeneration+1 {
+		t.Errorf("the clear was sent under token %d, want %d", token, testGeneration+1)
+	}
+}
+
 func TestChangesOnlyThisLeaderKnowsAreStoredAtOnce(t *testing.T) {
 	t.Parallel()
 	// Outcomes are batched, since workers report them until they are cleared. The termination of a machine
