--- a/cmd/pebbletrail/rehearse.go
+++ b/cmd/pebbletrail/rehearse.go
@@ -20,6 +20,7 @@
 	seedHelp         = "decides jobs and failures"
 	controllersHelp  = "controller processes"
 	maxDurationHelp  = "the run ends by then, whatever happens"
+	lateCopiesHelp   = "share of the direct commands to machines, from 0 to 1, of which a copy arrives seconds after the answer"
 	folderPermission = 0o700
 )
 
--- a/cmd/pebbletrail/rehearse_drain.go
+++ b/cmd/pebbletrail/rehearse_drain.go
@@ -24,5 +24,6 @@
 	flags.IntVar(&options.Machines, "machines", 50, "stand-in machines, all of which are replaced")
 	flags.IntVar(&options.Jobs, "jobs", 300, "low jobs beside the services")
 	flags.DurationVar(&options.MaxDuration, "longest", 10*time.Minute, maxDurationHelp)
+	flags.Float64Var(&options.LateCopies, "late-copies", 0, lateCopiesHelp)
 	return command
 }
--- a/cmd/pebbletrail/rehearse_quota.go
+++ b/cmd/pebbletrail/rehearse_quota.go
@@ -26,5 +26,6 @@
 	flags.IntVar(&options.Jobs, "jobs", 1000, "jobs submitted at the same moment, twice")
 	flags.DurationVar(&options.GuaranteeTimeout, "within", 20*time.Second, "how soon a guarantee has to be reached")
 	flags.DurationVar(&options.MaxDuration, "longest", 10*time.Minute, maxDurationHelp)
+	flags.Float64Var(&options.LateCopies, "late-copies", 0, lateCopiesHelp)
 	return command
 }
--- a/internal/rehearsal/cluster.go
+++ b/internal/rehearsal/cluster.go
@@ -47,6 +47,7 @@
 	network  *fake.Network // stores which tasks have completed
 	cloud    *fakeCloud
 	http     *http.Client
+	copies   *copyFault
 	// ctx is the context of the fake workers.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -81,6 +82,9 @@
 	// Features and Operators are the contents of the features file and of the operators' settings
 	// file; an empty one is not written.
 	Features, Operators string
+	// LateCopies is the share of direct commands of which a copy arrives later, and Seed decides which.
+	LateCopies float64
+	Seed       uint64
 	// OnChange is called for each change of the state service, under the store's lock; may be nil.
 	OnChange func(key string, value json.RawMessage)
 }
@@ -98,6 +102,7 @@
 		network:   fake.NewNetwork(),
 		cloud:     newFakeCloud(options.Machines, options.Accelerators),
 		http:      &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}},
+		copies:    newCopyFault(options.LateCopies, options.Seed),
 		ctx:       ctx,
 		cancel:    cancel,
 		workers:   map[string]*runningWorker{},
--- a/internal/rehearsal/drain.go
+++ b/internal/rehearsal/drain.go
@@ -19,6 +19,7 @@
 	Machines    int           // number of machines, all of which the rollout replaces
 	Jobs        int           // number of low-priority jobs that run beside the services
 	MaxDuration time.Duration // maximum duration; the run is aborted after it
+	LateCopies  float64       // share of the direct commands to machines of which a copy arrives later
 }
 
 // drainTeam is a team with one service and a disruption budget.
@@ -88,7 +89,7 @@
 	cluster, err := newLocalCluster(clusterOptions{
 		Folder: options.Folder, Program: options.Program, Teams: quotas, Controllers: options.Controllers,
 		Machines: cloudCapacityFactor * options.Machines, Features: drainFeatures(teams), Operators: keepIdleMachinesSettings,
-		OnChange: run.observeChange,
+		OnChange: run.observeChange, LateCopies: options.LateCopies, Seed: options.Seed,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/rehearsal/fake_machines.go
+++ b/internal/rehearsal/fake_machines.go
@@ -31,7 +31,7 @@
 		worker.ControllerNames = append(worker.ControllerNames, controller.name)
 	}
 	ctx, stop := context.WithCancel(c.ctx)
-	server := &http.Server{Handler: worker, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: c.copies.wrap(worker), ReadHeaderTimeout: headerTimeout}
 	c.mu.Lock()
 	c.workers[name] = &runningWorker{Worker: worker, server: server, stop: stop}
 	c.mu.Unlock()
--- a/internal/rehearsal/quota.go
+++ b/internal/rehearsal/quota.go
@@ -17,6 +17,7 @@
 	Jobs             int           // number of jobs submitted at once in each of two waves
 	GuaranteeTimeout time.Duration // maximum wait of a job within its team's guarantee
 	MaxDuration      time.Duration // maximum duration; the run is aborted after it
+	LateCopies       float64       // share of the direct commands to machines of which a copy arrives later
 }
 
 // borrowingTeams submit many jobs at once and use the capacity that guaranteedTeam leaves idle.
@@ -48,7 +49,7 @@
 		features = fmt.Sprintf("shards: %d\n", options.Shards)
 	}
 	cluster, err := newLocalCluster(clusterOptions{Folder: options.Folder, Program: options.Program, Teams: teams, Controllers: options.Controllers,
-		Machines: options.Machines, Accelerators: quotaAccelerators, Features: features})
+		Machines: options.Machines, Accelerators: quotaAccelerators, Features: features, LateCopies: options.LateCopies, Seed: options.Seed})
 	if err != nil {
 		return nil, err
 	}
