The leader's status answers again: the generation is called, not encoded as a function

What callers saw: GET /v2/status of the leader gave 500, so pebbletrail status had no figures of the pool and the rehearsal of drains waited for ever. Cause: made generation a method, and the summary, a map of any, took the method itself. Found by the rehearsal of drains. The test failed before (json: unsupported type).

--- a/internal/clusterstate/explain.go
+++ b/internal/clusterstate/explain.go
@@ -137,7 +137,7 @@
 			waiting[job.PendingReason]++
 		}
 	}
-	return map[string]any{"generation": c.generation, "jobs": c.jobs.Len(), "placed": assigned, "machines": len(c.machines.Machines),
+	return map[string]any{"generation": c.generation(), "jobs": c.jobs.Len(), "placed": assigned, "machines": len(c.machines.Machines),
 		"heard": reporting, "draining": draining, "cordoned": cordoned, "waiting": waiting,
 		"spent": c.costsSummary()}
 }
--- a/internal/clusterstate/takeover_test.go
+++ b/internal/clusterstate/takeover_test.go
@@ -1,6 +1,7 @@
 package clusterstate
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -173,3 +174,13 @@
 		}
 	})
 }
+
+func TestSummaryOfStatusCanBeEncoded(t *testing.T) {
+	t.Parallel()
+	cluster := newTestState()
+	cluster.heartbeat("m1", "north", 1)
+	raw, err := json.Marshal(cluster.Summary())
+	if want := fmt.Sprintf(`"generation":%d`, cluster.generation()); err != nil || !strings.Contains(string(raw), want) {
+		t.Errorf("encoded as %s, error %v; want %s", raw, err, want)
+	}
+}
