--- a/internal/clusterstate/dispatch_test.go
+++ b/internal/clusterstate/dispatch_test.go
@@ -139,7 +139,7 @@
 	cluster.Plan(now)
 	report := newReport("m1", "north", 2)
 	report.Incarnation = 2
-	cluster.ReconcileHeartbeat(report, true, true)
+	cluster.ReconcileHeartbeat(report)
 	job := cluster.jobs.Get("job-1")
 	cluster.markStored(job)
 	cluster.Plan(now)
--- a/internal/clusterstate/helpers_workers_test.go
+++ b/internal/clusterstate/helpers_workers_test.go
@@ -44,7 +44,7 @@
 func (c *State) heartbeat(name ids.Machine, zone string, sequence ids.SequenceNumber, tasks ...worker.TaskStatus) []worker.Command {
 	report := newReport(name, zone, sequence)
 	report.Tasks = tasks
-	return c.ReconcileHeartbeat(report, true, true).Commands
+	return c.ReconcileHeartbeat(report).Commands
 }
 
 // answerCommands records that every direct command sent so far was answered.
--- a/internal/clusterstate/reports.go
+++ b/internal/clusterstate/reports.go
@@ -15,11 +15,17 @@
 		Estimates: c.estimates, Commands: c.commands, Costs: &c.costs, FirstToken: c.firstToken}, operations{c})
 }
 
-// ReconcileHeartbeat reconciles a worker's report and returns the commands for its machine, with their fencing
-// token. answered is set
-// if the worker gets a 200 for this report; heartbeat is set if the report is a heartbeat, not the answer
-// to direct commands.
-func (c *State) ReconcileHeartbeat(report *worker.Report, answered, heartbeat bool) worker.CommandBatch {
+// ReconcileHeartbeat reconciles a worker's heartbeat, which the caller answers with status 200, and returns the
+// response.
+func (c *State) ReconcileHeartbeat(report *worker.Report) worker.CommandBatch {
+	return c.reconcile(report, true)
+}
+
+// ReconcileReport reconciles the report in a worker's response to direct commands or to a probe.
+func (c *State) ReconcileReport(report *worker.Report) { c.reconcile(report, false) }
+
+// reconcile reconciles a report and returns the response if the report is a heartbeat.
+func (c *State) reconcile(report *worker.Report, heartbeat bool) worker.CommandBatch {
 	starts, recordsRead := c.StartsAllowed()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -28,7 +34,7 @@
 	if c.terminated[report.Machine] {
 		return worker.CommandBatch{FencingToken: c.tokens.First} // the report was delayed: the machine is gone already
 	}
-	source := reconcile.Source{Heartbeat: heartbeat, Answered: answered, EarliestLeaseExpiry: c.earliestLeaseExpiry}
+	source := reconcile.Source{Heartbeat: heartbeat, EarliestLeaseExpiry: c.earliestLeaseExpiry}
 	permission := dispatch.Permission{Tokens: c.tokens, Starts: starts, RecordsRead: recordsRead}
 	return c.reconciler.Report(report, source, permission, now)
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -30,9 +30,8 @@
 	SelectProbes(now time.Time, limit int) []Probe
 	// RecordProbeAnswer records whether a machine answered a probe.
 	RecordProbeAnswer(machine ids.Machine, answered bool)
-	// ReconcileHeartbeat reconciles a report of a machine: a heartbeat, or the response to commands or a
-	// probe.
-	ReconcileHeartbeat(report *worker.Report, answered, heartbeat bool) worker.CommandBatch
+	// ReconcileReport reconciles the report of a machine in its response to commands or a probe.
+	ReconcileReport(report *worker.Report)
 }
 
 // Dispatcher sends commands and probes, each batch and each probe in its own goroutine. The slots limit the
@@ -94,7 +93,7 @@
 	<-d.slots
 	d.cluster.RecordBatchOutcome(batch, outcome)
 	if report != nil && report.Machine == batch.Machine {
-		d.cluster.ReconcileHeartbeat(report, false, false)
+		d.cluster.ReconcileReport(report)
 	}
 	d.Wake() // a slot is free, and the machine may have more pending commands
 }
@@ -110,7 +109,7 @@
 	}
 	d.cluster.RecordProbeAnswer(probe.Machine, report != nil)
 	if report != nil {
-		d.cluster.ReconcileHeartbeat(report, false, false)
+		d.cluster.ReconcileReport(report)
 	}
 }
 
--- a/internal/election/heartbeats.go
+++ b/internal/election/heartbeats.go
@@ -30,7 +30,7 @@
 	if term.Cluster.LeaseMustExpire(report, e.settings.LeaderGracePeriod().Duration()) {
 		return rejectHeartbeat()
 	}
-	response := term.Cluster.ReconcileHeartbeat(report, true, true)
+	response := term.Cluster.ReconcileHeartbeat(report)
 	if response.Commands == nil {
 		response.Commands = []worker.Command{} // encoded as an empty list, not as null
 	}
--- a/internal/election/helpers_test.go
+++ b/internal/election/helpers_test.go
@@ -38,7 +38,7 @@
 	cluster.SetMachineTypes([]placement.InstanceType{{Label: "small", Cores: 4, RAM: 16, CacheGB: 20, PullGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 30, Zones: []string{"north", "south"}}})
 	for i := range machines {
 		name := ids.Machine(fmt.Sprintf("host-%06d", i))
-		cluster.ReconcileHeartbeat(&worker.Report{Machine: name, Addr: string(name) + ":1", Type: "small", Zone: []string{"north", "south"}[i%2], Incarnation: 1, Sequence: 1, FencingToken: testGeneration}, true, true)
+		cluster.ReconcileHeartbeat(&worker.Report{Machine: name, Addr: string(name) + ":1", Type: "small", Zone: []string{"north", "south"}[i%2], Incarnation: 1, Sequence: 1, FencingToken: testGeneration})
 	}
 	return cluster
 }
--- a/internal/fleet/boot_time_test.go
+++ b/internal/fleet/boot_time_test.go
@@ -39,7 +39,7 @@
 			firstSeen := f.seenAt[machine]
 			duration := boot(machine, firstSeen.Sub(f.start))
 			if !deleted[machine] && duration > 0 && time.Since(firstSeen) >= duration {
-				f.cluster.ReconcileHeartbeat(heartbeat(ids.Machine(machine), f.sequence), true, true)
+				f.cluster.ReconcileHeartbeat(heartbeat(ids.Machine(machine), f.sequence))
 			}
 		}
 	}
--- a/internal/fleet/large_fleet_test.go
+++ b/internal/fleet/large_fleet_test.go
@@ -26,7 +26,7 @@
 			t.Fatal(err)
 		}
 		for _, machine := range machines {
-			cluster.ReconcileHeartbeat(heartbeat(machine, 1), true, true)
+			cluster.ReconcileHeartbeat(heartbeat(machine, 1))
 		}
 	}
 }
--- a/internal/fleet/provisioner_test.go
+++ b/internal/fleet/provisioner_test.go
@@ -139,10 +139,10 @@
 			t.Fatalf("deleted machines %v, want first host-000001, which never came up", deleted)
 		}
 		// A machine that no request provisioned sends heartbeats, has no tasks and is deleted.
-		cluster.ReconcileHeartbeat(&worker.Report{Machine: "host-000777", Type: "small", Zone: "north", Incarnation: 1, Sequence: 1}, true, true)
+		cluster.ReconcileHeartbeat(&worker.Report{Machine: "host-000777", Type: "small", Zone: "north", Incarnation: 1, Sequence: 1})
 		cluster.HandleRecord("job-1", 99, nil, time.Now())
 		for i := range 90 {
-			cluster.ReconcileHeartbeat(&worker.Report{Machine: "host-000777", Type: "small", Zone: "north", Incarnation: 1, Sequence: ids.SequenceNumber(i + 2)}, true, true)
+			cluster.ReconcileHeartbeat(&worker.Report{Machine: "host-000777", Type: "small", Zone: "north", Incarnation: 1, Sequence: ids.SequenceNumber(i + 2)})
 			provisioner.Step(ctx)
 			time.Sleep(time.Second)
 		}
--- a/internal/fleet/shards_test.go
+++ b/internal/fleet/shards_test.go
@@ -83,7 +83,7 @@
 	cluster := clusterstate.New(testSettings(), "w", 7, time.Now())
 	cluster.SetMachineTypes([]placement.InstanceType{{Label: "small", Cores: 4, RAM: 16, Zones: []string{"north"}}})
 	for _, machine := range []ids.Machine{"busy", "idle", "spare"} {
-		cluster.ReconcileHeartbeat(heartbeat(machine, 1), true, true)
+		cluster.ReconcileHeartbeat(heartbeat(machine, 1))
 	}
 	now := time.Now()
 	if deleted := cluster.MachinesToTerminate(now, map[ids.Machine]bool{"busy": true}); len(deleted) != 0 {
--- a/internal/reconcile/reconciler.go
+++ b/internal/reconcile/reconciler.go
@@ -95,10 +95,9 @@
 
 // Source describes how a report arrived and how its worker is answered.
 type Source struct {
-	// Heartbeat is true for a heartbeat, and false for the response to a direct command or a probe.
+	// Heartbeat is true for a heartbeat, whose response renews the worker's lease, and false for the
+	// response to a direct command or a probe.
 	Heartbeat bool
-	// Answered is true if the worker receives a response that renews its lease.
-	Answered bool
 	// EarliestLeaseExpiry is the earliest time at which the lease of a machine that never reported to this leader
 	// can be assumed to have expired.
 	EarliestLeaseExpiry time.Time
@@ -112,7 +111,7 @@
 func (r *Reconciler) Report(report *worker.Report, source Source, permission dispatch.Permission, now time.Time) worker.CommandBatch {
 	machine := r.machines.ensure(report, source, now)
 	before := r.machines.snapshot(machine, report, now)
-	result := r.Machines.RecordReport(machine, report, now, source.Answered, r.FirstToken)
+	result := r.Machines.RecordReport(machine, report, now, source.Heartbeat, r.FirstToken)
 	if !result.Fresh {
 		if report.Incarnation != machine.Incarnation {
 			return worker.CommandBatch{FencingToken: machine.CommandToken(permission.Tokens)}
--- a/internal/reconcile/reconciler_test.go
+++ b/internal/reconcile/reconciler_test.go
@@ -86,7 +86,7 @@
 // "start job/0".
 func reconcileReport(reconciler *Reconciler, report *worker.Report) (commands []string) {
 	permission := dispatch.Permission{Tokens: ids.TokenRange{First: leaderToken, Last: leaderToken}, Starts: true, RecordsRead: time.Now()}
-	for _, command := range reconciler.Report(report, Source{Heartbeat: true, Answered: true}, permission, time.Now()).Commands {
+	for _, command := range reconciler.Report(report, Source{Heartbeat: true}, permission, time.Now()).Commands {
 		commands = append(commands, command.Verb+" "+command.Task)
 	}
 	return commands
@@ -245,7 +245,7 @@
 		machine.RecordDirectCommands(c.sent)
 		machine.CommandsInFlight = c.inFlight
 		permission := dispatch.Permission{Tokens: ids.TokenRange{First: leaderToken, Last: last}, Starts: true, RecordsRead: time.Now()}
-		response := reconciler.Report(reportOf(2, done), Source{Heartbeat: c.heartbeat, Answered: c.heartbeat}, permission, time.Now())
+		response := reconciler.Report(reportOf(2, done), Source{Heartbeat: c.heartbeat}, permission, time.Now())
 		if response.FencingToken != c.token || len(response.Commands) != c.clears || cluster.reserved != c.reserved {
 			t.Errorf("%s: token %d, commands %v, %d requests for tokens", c.name, response.FencingToken, response.Commands, cluster.reserved)
 		}
@@ -257,13 +257,13 @@
 	assignment := assign(cluster, addJob(reconciler, record.Array))
 	reconciler.Machines.Machines["m"].RecordDirectCommands(leaderToken)
 	permission := dispatch.Permission{Tokens: ids.TokenRange{First: leaderToken, Last: leaderToken + 2}}
-	response := reconciler.Report(reportOf(2), Source{Heartbeat: true, Answered: true}, permission, time.Now())
+	response := reconciler.Report(reportOf(2), Source{Heartbeat: true}, permission, time.Now())
 	if len(assignment.Job.Assignments) != 1 || response.FencingToken != leaderToken+1 {
 		t.Errorf("%d assignments, response under token %d, want the task kept and the token raised", len(assignment.Job.Assignments), response.FencingToken)
 	}
 	report := reportOf(3)
 	report.FencingToken = response.FencingToken
-	reconciler.Report(report, Source{Heartbeat: true, Answered: true}, permission, time.Now())
+	reconciler.Report(report, Source{Heartbeat: true}, permission, time.Now())
 	if len(assignment.Job.Assignments) != 0 {
 		t.Error("the task is kept although its worker rejects every copy of its start")
 	}
