Scenario of copies: fresh machines once the failures end

Traced by the leader's summary and the workers: all four machines were drained because tasks kept failing there, which is what the leader is meant to do, and the scenario has no cloud that rents others. Two machines now start when the failures end; every check and bound is as it was.

--- a/internal/scenarios/random_copies_test.go
+++ b/internal/scenarios/random_copies_test.go
@@ -85,6 +85,9 @@
 	}
 	users.Wait()
 	close(quiet)
+	// The leader may have drained every machine, since tasks kept failing there.
+	c.startWorker("m5", "north")
+	c.startWorker("m6", "south")
 	for i := range jobs {
 		c.awaitAgreement(4*time.Minute, fmt.Sprintf("job-%d", i+1))
 	}
