Tests of copies: one wait and one set-up instead of two each

Two loops of the random copies waited by the same select, and two tests of clears began with the same six lines. Comments say what the loops do.

--- a/internal/clusterstate/helpers_workers_test.go
+++ b/internal/clusterstate/helpers_workers_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pebbletrail/pebbletrail/internal/ids"
+	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
 	"github.com/pebbletrail/pebbletrail/internal/workload"
 )
@@ -54,6 +55,17 @@
 	}
 }
 
+// startTaskDirectly submits job-1 with one task and sends its start directly to machine m1, which answers.
+func (c *State) startTaskDirectly() {
+	now := time.Now()
+	c.heartbeat("m1", "north", 1)
+	c.submit(1, newRecord("job-1", "blue", record.Normal, 1, 1), now)
+	c.Plan(now)
+	c.markAllStored()
+	c.NextBatches(1)
+	c.answerCommands()
+}
+
 // heartbeatAll reconciles a heartbeat of every machine, which reports the tasks whose starts were sent to
 // it. exitCause returns the cause with which a task exits now, or an empty string while it runs.
 func (c *State) heartbeatAll(sequence ids.SequenceNumber, exitCause func(assignment *workload.Assignment) string) {
--- a/internal/clusterstate/store_changes_test.go
+++ b/internal/clusterstate/store_changes_test.go
@@ -36,14 +36,8 @@
 
 func TestTaskClearedOnlyOnceOutcomeIsStored(t *testing.T) {
 	t.Parallel()
-	now := time.Now()
 	cluster := newTestState()
-	cluster.heartbeat("m1", "north", 1)
-	cluster.submit(1, newRecord("job-1", "blue", record.Normal, 1, 1), now)
-	cluster.Plan(now)
-	cluster.markAllStored()
-	cluster.NextBatches(1)
-	cluster.answerCommands()
+	cluster.startTaskDirectly()
 	done := newExitedStatus("job-1/0", worker.CauseDone)
 	if commands := cluster.heartbeat("m1", "north", 2, done); len(commands) != 0 {
 		t.Fatalf("the heartbeat was answered with %v before the outcome was stored, want no commands", commands)
@@ -62,15 +56,9 @@
 
 func TestClearWaitsUntilFurtherTokensAreReserved(t *testing.T) {
 	t.Parallel()
-	now := time.Now()
 	cluster := newTestState()
 	cluster.tokens.Last = cluster.tokens.First
-	cluster.heartbeat("m1", "north", 1)
-	cluster.submit(1, newRecord("job-1", "blue", record.Normal, 1, 1), now)
-	cluster.Plan(now)
-	cluster.markAllStored()
-	cluster.NextBatches(1)
-	cluster.answerCommands()
+	cluster.startTaskDirectly()
 	done := newExitedStatus("job-1/0", worker.CauseDone)
 	cluster.heartbeat("m1", "north", 2, done)
 	cluster.markAllStored()
--- a/internal/scenarios/random_copies_test.go
+++ b/internal/scenarios/random_copies_test.go
@@ -96,17 +96,22 @@
 	beside.Wait()
 }
 
+// waitUnlessStopped waits for d and reports whether neither the channel was closed nor the scenario ended.
+func (c *testCluster) waitUnlessStopped(stop <-chan struct{}, d time.Duration) bool {
+	select {
+	case <-stop:
+		return false
+	case <-c.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // failTasksUntil ends a random running task with an error every few seconds, until the channel is closed.
-// The other tasks of its job end with it if the job is a gang.
+// Half of the other tasks of its job end with it, as tasks of a gang do.
 func (c *testCluster) failTasksUntil(stop <-chan struct{}, random *randomSource) {
-	for {
-		select {
-		case <-stop:
-			return
-		case <-c.ctx.Done():
-			return
-		case <-time.After(random.milliseconds(1000, 5000)):
-		}
+	for c.waitUnlessStopped(stop, random.milliseconds(1000, 5000)) {
 		machine := c.listWorkers()[random.intn(len(c.listWorkers()))]
 		tasks := machine.ActiveTasks()
 		if len(tasks) == 0 {
@@ -127,14 +132,7 @@
 
 // restartNodesUntil restarts a random node every few seconds, until the channel is closed.
 func (c *testCluster) restartNodesUntil(stop <-chan struct{}, random *randomSource) {
-	for {
-		select {
-		case <-stop:
-			return
-		case <-c.ctx.Done():
-			return
-		case <-time.After(random.milliseconds(5000, 30000)):
-		}
+	for c.waitUnlessStopped(stop, random.milliseconds(5000, 30000)) {
 		c.mu.Lock()
 		node := c.nodes[random.node()]
 		c.mu.Unlock()
--- a/internal/scenarios/random_faults_test.go
+++ b/internal/scenarios/random_faults_test.go
@@ -10,9 +10,9 @@
 // TestTwoConcurrentRandomFaultsBreakNoRule checks that no rule is broken and every job ends under
 // two random faults at a time, because rules may hold under each fault alone. A fault may last
 // longer than a lease: a machine hangs, loses its inbound or outbound traffic or has its heartbeats
-// duplicated; the state service rejects the requests of the leader, is slow, is down, loses
-// responses or delays transactions; a controller restarts, or the leader is partitioned from the
-// state service and its peer. Some jobs depend on others.
+// duplicated; requests of all kinds arrive once more; the state service rejects the requests of the
+// leader, is slow, is down, loses responses or delays transactions; a controller restarts, or the leader
+// is partitioned from the state service and its peer. Some jobs depend on others.
 func TestTwoConcurrentRandomFaultsBreakNoRule(t *testing.T) {
 	t.Parallel()
 	for seed := range seeds(4) {
