--- a/review/harness2/cloud.go
+++ b/review/harness2/cloud.go
@@ -58,6 +58,18 @@
 	return h.worker
 }
 
+// Running returns how many machines are up.
+func (c *Cloud) Running() (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.hosts {
+		if h.worker != nil {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *Cloud) add(build, zone string, spot bool) *host {
 	c.number++
 	h := &host{name: fmt.Sprintf("host-%06d", c.number), build: build, zone: zone, spot: spot, created: time.Now()}
--- a/review/harness2/http.go
+++ b/review/harness2/http.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -49,11 +51,17 @@
 	return listener
 }
 
-// FreeAddress returns a loopback address with a port that is free now.
+// FreeAddress returns a loopback address with a port that is free now. It is none of those that the system gives to
+// outgoing connections, so that it stays free while a controller is down.
 func FreeAddress() string {
-	listener := listen()
-	defer func() { _ = listener.Close() }() // nothing was accepted
-	return listener.Addr().String()
+	const first, count = 15000, 15000
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))
+		if listener, err := net.Listen("tcp4", address); err == nil {
+			_ = listener.Close() // nothing was accepted
+			return address
+		}
+	}
 }
 
 // Call makes a request with a JSON body, if body is not nil, and returns the status and the decoded answer; status 0
--- a/review/harness2/worker.go
+++ b/review/harness2/worker.go
@@ -73,7 +73,7 @@
 	for _, t := range w.tasks {
 		w.world.leave(t, "machine gone")
 	}
-	w.tasks = nil
+	w.tasks, w.heldBack = nil, nil
 	delete(w.world.workers, w.Name)
 	_ = w.listener.Close()
 }
@@ -96,7 +96,7 @@
 func (w *Worker) SetHung(hung bool) {
 	w.world.mu.Lock()
 	defer w.world.mu.Unlock()
-	if w.hung && !hung {
+	if w.hung && !hung && !w.gone {
 		w.hung = false
 		w.checkLease(time.Now())
 		for _, run := range w.heldBack {
@@ -319,9 +319,17 @@
 	}
 }
 
+// maxRequest is the limit for request bodies.
+const maxRequest = 64 << 10
+
 // ServeHTTP handles direct commands and GET /show.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	body := readBody(r)
+	if len(body) > maxRequest {
+		w.world.Record.Add("RULE BROKEN  a request of %d bytes to %s: the limit is %d", len(body), w.Name, maxRequest)
+		reply(rw, http.StatusBadRequest, map[string]string{"error": "request too large"})
+		return
+	}
 	arrived := time.Now()
 	w.world.mu.Lock()
 	if w.gone || w.deaf {
