--- a/review/harness2/users.go
+++ b/review/harness2/users.go
@@ -25,12 +25,15 @@
 }
 
 // Submit submits a job to a controller and returns the status of the answer.
-func (u *Users) Submit(to *Controller, job *Job) int {
+func (u *Users) Submit(to *Controller, job *Job) int { return u.SubmitBody(to, job, job) }
+
+// SubmitBody is like Submit, with a body of its own.
+func (u *Users) SubmitBody(to *Controller, job *Job, body any) int {
 	u.World.Upload(job)
 	u.mu.Lock()
 	known := u.accepted[job.ID]
 	u.mu.Unlock()
-	status, answer := Call(u.client, http.MethodPost, "http://"+to.Client+"/v2/runs", job)
+	status, answer := Call(u.client, http.MethodPost, "http://"+to.Client+"/v2/runs", body)
 	u.World.Record.Add("submit %s to %s: %d %v", job.ID, to.Name, status, answer)
 	u.mu.Lock()
 	defer u.mu.Unlock()
