--- a/review/4/main.go
+++ b/review/4/main.go
@@ -14,7 +14,7 @@
 	backlog    = 1060                 // unfinished jobs, more than one page of the state service
 	dependents = 8                    // jobs that await the same job
 	answerTime = 8 * time.Millisecond // of the state service: usually under 10 ms
-	lastRound  = 85 * time.Second     // no round begins later
+	crashes    = 6                    // as many controllers end on the day "rough" of the site
 )
 
 // The zone in which the many jobs wait for room, and the one that has room.
@@ -35,7 +35,7 @@
 	if err := submitBacklog(c, u); err != nil {
 		return err
 	}
-	for round := 0; c.World.Record.Now() < lastRound && len(c.World.Record.Breaches()) == 0; round++ {
+	for round := 0; round < crashes && len(c.World.Record.Breaches()) == 0; round++ {
 		if err := playRound(c, u, trouble, round); err != nil {
 			return err
 		}
