Second review: the harness's controllers have a loopback host of their own

The controllers of each case now have a loopback host of their own, so that cases beside each other take no port from each other, 200 counts as accepted, and a case that can't run adds the ends of the logs to its record.

--- a/review/harness2/http.go
+++ b/review/harness2/http.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"time"
 )
 
@@ -51,12 +52,13 @@
 	return listener
 }
 
-// FreeAddress returns a loopback address with a port that is free now. It is none of those that the system gives to
-// outgoing connections, so that it stays free while a controller is down.
+// FreeAddress returns a loopback address with a port that is free now. Its host is this process's own, so that cases that
+// run at once take no address from each other, and its port is none that the system gives to outgoing connections.
 func FreeAddress() string {
-	const first, count = 15000, 15000
+	const first, count, hosts = 15000, 15000, 250
+	host := fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()/hosts%hosts, 1+os.Getpid()%hosts)
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))
+		address := fmt.Sprintf("%s:%d", host, first+rand.IntN(count))
 		if listener, err := net.Listen("tcp4", address); err == nil {
 			_ = listener.Close() // nothing was accepted
 			return address
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -74,6 +74,10 @@
 		return broken
 	case err != nil:
 		record.Add("could not run: %v", err)
+		for _, controller := range cluster.Controllers {
+			log, _ := os.ReadFile(controller.log.Name()) // without it, there is nothing to add
+			record.Add("log of %s ends: %s", controller.Name, log[max(0, len(log)-1000):])
+		}
 		fmt.Println("could not run:", err)
 		return failed
 	}
--- a/review/harness2/users.go
+++ b/review/harness2/users.go
@@ -46,11 +46,15 @@
 	return status
 }
 
-// SubmitUntil submits a job until it is accepted or refused for good, for 60 s at most.
+// SubmitUntil submits a job until it is accepted or refused for good, for 60 s at most. It returns 201 for an accepted job,
+// also if the answer was 200.
 func (u *Users) SubmitUntil(to *Controller, job *Job) int {
 	for until := time.Now().Add(time.Minute); ; time.Sleep(time.Second) {
 		status := u.Submit(to, job)
-		if status == http.StatusOK || status == http.StatusCreated || status == http.StatusBadRequest || status == http.StatusUnprocessableEntity || time.Now().After(until) {
+		if status == http.StatusOK {
+			status = http.StatusCreated
+		}
+		if status == http.StatusCreated || status == http.StatusBadRequest || status == http.StatusUnprocessableEntity || time.Now().After(until) {
 			return status
 		}
 	}
