A listing of several pages is one state of the store: no job is on none of them

Cause: state.Client.ListAll read the pages one after the other and returned them as the store's state at the first page's revision. A job that left the waiting state in between moved from a page not yet read (job/wait/ID) to one already read (job/ID), so it was on neither, and the first Sync of the watch cache counted that copy as complete.

Change: if the store's revision changed between the pages, ListAll reads the changes since the first page and applies them, by the same checked read by which Sync brings the cache up to date (changesSince, shared by both; it fails if the store may have left out changes). Every caller of ListAll and every watch cache gets it. Cost: one call for such a listing; none for a listing of one page or of an unchanged store.

--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -47,6 +47,8 @@
 	// maxValueBytes and maxTxnOps limit the size of a value and the changes of a transaction; 0
 	// means no limit.
 	maxValueBytes, maxTxnOps int
+	// maxPageEntries limits the entries in a page of a listing, whatever the request allows.
+	maxPageEntries int
 	// TooLarge counts the transactions that exceeded these limits.
 	TooLarge int
 	// Listed counts the entries returned by list requests.
@@ -57,12 +59,16 @@
 	historyLimit int
 }
 
-// defaultHistoryLimit is the history limit of a new store.
-const defaultHistoryLimit = 10000
+// Limits of a new store.
+const (
+	defaultHistoryLimit = 10000
+	defaultPageEntries  = 1000
+)
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{entries: map[string]*entry{}, leases: map[uint64]*lease{}, refused: map[string]uint64{}, historyLimit: defaultHistoryLimit}
+	return &Store{entries: map[string]*entry{}, leases: map[uint64]*lease{}, refused: map[string]uint64{},
+		historyLimit: defaultHistoryLimit, maxPageEntries: defaultPageEntries}
 }
 
 // NotifyChanges registers f to be called for each change of a committed transaction from now on, in
@@ -81,6 +87,13 @@
 	s.historyLimit = changes
 }
 
+// SetPageLimit sets the maximum number of entries in a page of a listing.
+func (s *Store) SetPageLimit(entries int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxPageEntries = entries
+}
+
 // SetDown starts or ends an outage. At the end of an outage every lease is renewed.
 func (s *Store) SetDown(down bool) {
 	s.mu.Lock()
--- a/internal/fake/store_http.go
+++ b/internal/fake/store_http.go
@@ -114,6 +114,7 @@
 func (s *Store) serveList(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	pageSize, _ := strconv.Atoi(query.Get("most")) // 0 if it is missing
+	pageSize = min(pageSize, s.maxPageEntries)
 	var keys []string
 	for key := range s.entries {
 		if strings.HasPrefix(key, query.Get("under")) && key > query.Get("after") {
--- a/internal/intake/cluster_test.go
+++ b/internal/intake/cluster_test.go
@@ -96,12 +96,18 @@
 
 // storeJob stores the record of a job with the given status at the matching key.
 func (c *testCluster) storeJob(id ids.Job, status record.Status, dependencies ...ids.Job) {
+	c.t.Helper()
+	c.commit(c.putOfJob(id, status, dependencies...))
+}
+
+// putOfJob returns the change that stores the record of a job with the given status at the matching key.
+func (c *testCluster) putOfJob(id ids.Job, status record.Status, dependencies ...ids.Job) state.Op {
 	c.t.Helper()
 	spec, err := parseSubmission(bytes.NewReader(marshal(dependentSubmission(string(id), dependencies))))
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	c.storeRecord(newRecord(spec, status), len(dependencies) > 0)
+	return c.putOfRecord(newRecord(spec, status), len(dependencies) > 0)
 }
 
 // newRecord returns the record of a job with the given status.
@@ -113,6 +119,12 @@
 
 // storeRecord stores a record at the matching key. blocked states that the job waits for its dependencies.
 func (c *testCluster) storeRecord(rec *record.Record, blocked bool) {
+	c.t.Helper()
+	c.commit(c.putOfRecord(rec, blocked))
+}
+
+// putOfRecord returns the change that stores a record at the matching key.
+func (c *testCluster) putOfRecord(rec *record.Record, blocked bool) state.Op {
 	c.t.Helper()
 	id := rec.Spec.ID
 	key, encode := record.JobKey(id), rec.Encode
@@ -126,7 +138,7 @@
 	if !fits {
 		c.t.Fatal("record does not fit into 64 KiB")
 	}
-	c.commit(state.Op{Put: key, Value: raw})
+	return state.Op{Put: key, Value: raw}
 }
 
 // commit applies operations to the store with the leader's client.
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -29,9 +29,6 @@
 // the wait that it requested.
 const longCallTimeout = 2 * CallTimeout
 
-// listPageSize is the largest number of entries requested by one call.
-const listPageSize = 1000
-
 // absentKey is a key that is never written. A read of a key that does not exist returns the store's
 // current revision.
 const absentKey = "none"
@@ -97,28 +94,6 @@
 	return result.Entries, result.More, result.Revision, requireStatus(http.StatusOK, status, err)
 }
 
-// ListAll reads all entries below a prefix, page by page. It returns the store revision of the first page,
-// so that a watch from that revision misses no change.
-func (c *Client) ListAll(ctx context.Context, prefix string, priority Priority) ([]Entry, ids.StoreRevision, error) {
-	var all []Entry
-	var firstRevision ids.StoreRevision
-	after := ""
-	for page := 0; ; page++ {
-		entries, more, storeRevision, err := c.List(ctx, prefix, after, listPageSize, priority)
-		if err != nil {
-			return nil, 0, err
-		}
-		if page == 0 {
-			firstRevision = storeRevision
-		}
-		all = append(all, entries...)
-		if !more || len(entries) == 0 {
-			return all, firstRevision, nil
-		}
-		after = entries[len(entries)-1].Key
-	}
-}
-
 // Commit applies a transaction and returns the store revision of its changes. If conditions failed it
 // returns a *ConflictError with their keys.
 func (c *Client) Commit(ctx context.Context, txn Txn, priority Priority) (ids.StoreRevision, error) {
@@ -139,8 +114,8 @@
 // watchChanges waits at most the given time for changes below a prefix after a store revision. It returns
 // a store revision and the changes up to it, or errCompacted if the store no longer keeps them. During an
 // outage, or while the store rejects this node, the response may lack changes up to that revision.
-func (c *Client) watchChanges(ctx context.Context, prefix string, after ids.StoreRevision, wait time.Duration) (ids.StoreRevision, []Change, error) {
-	if err := c.budget.acquire(ctx, Normal, 0); err != nil {
+func (c *Client) watchChanges(ctx context.Context, prefix string, after ids.StoreRevision, wait time.Duration, priority Priority) (ids.StoreRevision, []Change, error) {
+	if err := c.budget.acquire(ctx, priority, 0); err != nil {
 		return 0, nil, err
 	}
 	query := url.Values{
--- a/internal/state/watchcache.go
+++ b/internal/state/watchcache.go
@@ -1,12 +1,9 @@
 package state
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -64,10 +61,7 @@
 func (w *WatchCache) Entries() ([]Entry, ids.StoreRevision) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	byKey := func(x, y Entry) int { return cmp.Compare(x.Key, y.Key) }
-	entries := slices.AppendSeq(make([]Entry, 0, len(w.entries)), maps.Values(w.entries))
-	slices.SortFunc(entries, byKey)
-	return entries, w.storeRevision
+	return sortedByKey(w.entries), w.storeRevision
 }
 
 // Get reads a key from the copy; ready is false before the first listing.
@@ -127,7 +121,7 @@
 
 // watchOnce waits for changes, applies them and sleeps until the next watch is due.
 func (w *WatchCache) watchOnce(ctx context.Context) {
-	_, changes, err := w.client.watchChanges(ctx, w.prefix, w.currentRevision(), watchTimeout)
+	_, changes, err := w.client.watchChanges(ctx, w.prefix, w.currentRevision(), watchTimeout, Normal)
 	switch {
 	case errors.Is(err, errCompacted):
 		w.invalidate()
@@ -164,14 +158,6 @@
 	w.ready = false
 }
 
-// newestRevision returns the store revision of the newest change; 0 if there is none.
-func newestRevision(changes []Change) (newest ids.StoreRevision) {
-	for _, change := range changes {
-		newest = max(newest, ids.StoreRevision(change.Revision))
-	}
-	return newest
-}
-
 // relist lists all keys and notifies the listener of the differences from the copy, so that it misses no
 // change when the store has compacted its history.
 func (w *WatchCache) relist(ctx context.Context) error {
@@ -194,10 +180,9 @@
 		return nil
 	}
 	listed := make(map[string]Entry, len(entries))
-	w.lastRevision = 0
+	w.lastRevision = newestEntry(entries)
 	for _, entry := range entries {
 		listed[entry.Key] = entry
-		w.lastRevision = max(w.lastRevision, entry.Revision)
 		if w.entries[entry.Key].Revision != entry.Revision {
 			changes = append(changes, Change{Put: entry.Key, Value: entry.Value, Revision: entry.Revision})
 		}
@@ -223,19 +208,8 @@
 func (w *WatchCache) merge(storeRevision ids.StoreRevision, changes []Change) (applied []Change) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	applied = changes[:0]
-	for _, change := range changes {
-		if ids.StoreRevision(change.Revision) <= w.storeRevision || change.Revision <= w.entries[change.Key()].Revision {
-			continue
-		}
-		applied = append(applied, change)
-		w.lastRevision = max(w.lastRevision, change.Revision)
-		if change.Put != "" {
-			w.entries[change.Put] = Entry{Key: change.Put, Value: change.Value, Revision: change.Revision}
-		} else {
-			delete(w.entries, change.Remove)
-		}
-	}
+	applied = applyChanges(w.entries, w.storeRevision, changes)
+	w.lastRevision = max(w.lastRevision, ids.Revision(newestRevision(applied)))
 	w.storeRevision = max(w.storeRevision, storeRevision)
 	return applied
 }
--- a/internal/state/watchcache_sync.go
+++ b/internal/state/watchcache_sync.go
@@ -3,11 +3,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"slices"
 	"time"
-
-	"github.com/pebbletrail/pebbletrail/internal/ids"
 )
 
 // syncInterval is the shortest time between the starts of two rounds, so that hundreds of polls per
@@ -141,30 +137,13 @@
 	if err != nil || latestRevision <= cachedRevision {
 		return err
 	}
-	after := cachedRevision
-	if lastRevision > 0 {
-		// A response without changes may also mean that the store did not read them, because an
-		// outage has begun meanwhile or the store rejects this node. So the watch also requests
-		// the newest change already known: a response without it is not valid.
-		after = min(after, ids.StoreRevision(lastRevision)-1)
-	}
-	storeRevision, changes, err := w.client.watchChanges(ctx, w.prefix, after, 0)
+	changes, storeRevision, err := w.client.changesSince(ctx, w.prefix, cachedRevision, latestRevision, lastRevision, Normal)
 	switch {
 	case errors.Is(err, errCompacted):
 		return w.relist(ctx)
 	case err != nil:
 		return err
-	case storeRevision < latestRevision:
-		return fmt.Errorf("%w: watch returned changes up to store revision %d only, want %d", ErrRefused, storeRevision, latestRevision)
-	case lastRevision > 0 && !hasRevision(changes, lastRevision):
-		return fmt.Errorf("%w: watch response lacks the newest change already in the cache", ErrRefused)
 	}
-	// The watch was made after the plain read, so its response includes all changes up to latestRevision.
-	// Only the returned changes prove that the response also includes later ones.
-	w.apply(max(latestRevision, newestRevision(changes)), changes)
+	w.apply(storeRevision, changes)
 	return nil
 }
-
-func hasRevision(changes []Change, revision ids.Revision) bool {
-	return slices.ContainsFunc(changes, func(change Change) bool { return change.Revision == revision })
-}
