A listing that ends late does not replace a newer copy that was invalidated

A watch cache dropped a listing older than its copy only while the copy was ready. If the copy was brought further by another listing and invalidated by a compaction before the first listing ended, it went back to the older state, so a node could give an older answer than before. Now an older listing is always dropped; the copy stays readable and is listed again, as after any compaction.

TestLateListingDoesNotReplaceNewerCopy fails before.

--- a/internal/state/watchcache.go
+++ b/internal/state/watchcache.go
@@ -176,7 +176,7 @@
 func (w *WatchCache) replace(entries []Entry, storeRevision ids.StoreRevision) (changes []Change) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.ready && storeRevision < w.storeRevision {
+	if storeRevision < w.storeRevision {
 		return nil
 	}
 	listed := make(map[string]Entry, len(entries))
--- a/internal/state/watchcache_test.go
+++ b/internal/state/watchcache_test.go
@@ -73,6 +73,25 @@
 	}
 }
 
+// Guards against a copy that goes back to an older listing, so that a user is given an older answer: the
+// listing began before the copy was brought further and then invalidated by another compaction.
+func TestLateListingDoesNotReplaceNewerCopy(t *testing.T) {
+	cache := NewWatchCache(nil, "j/", time.Second)
+	cache.replace([]Entry{{Key: "j/1", Revision: 5}}, 5)
+	cache.apply(9, []Change{{Put: "j/2", Revision: 9}})
+	cache.invalidate()
+	if changes := cache.replace([]Entry{{Key: "j/1", Revision: 5}}, 7); len(changes) > 0 {
+		t.Errorf("a listing at revision 7 changed the copy of revision 9: %v", changes)
+	}
+	if _, found, ready := cache.Get("j/2"); !found || ready {
+		t.Errorf("key of revision 9 found %v, copy ready %v; want the copy kept and still to be listed", found, ready)
+	}
+	cache.replace([]Entry{{Key: "j/2", Revision: 9}}, 12)
+	if _, found, ready := cache.Get("j/1"); found || !ready {
+		t.Errorf("after a newer listing: removed key found %v, copy ready %v", found, ready)
+	}
+}
+
 func TestSyncServesAllWaitingCallersWithOneLaterRound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx := context.Background()
