Submissions: a field is taken by its exact name only, so that a missing one gets 400

Cause: encoding/json matches names regardless of case, and of letters that Unicode folds to ASCII ones. The protocol has receivers ignore unknown fields, so the names must match exactly.

--- a/internal/intake/parse.go
+++ b/internal/intake/parse.go
@@ -2,12 +2,12 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
 	"github.com/pebbletrail/pebbletrail/internal/record"
@@ -38,7 +38,7 @@
 		return record.Spec{}, errors.New("not a JSON object")
 	}
 	var s submission
-	if err := json.Unmarshal(raw, &s); err != nil {
+	if err := exactjson.Unmarshal(raw, &s); err != nil {
 		return record.Spec{}, fmt.Errorf("not readable: %w", err)
 	}
 	if err := s.checkRequired(); err != nil {
