All JSON is decoded with exact names: reports, state service, cloud, stored values, drains

An unknown member replaced a known one whose name it resembles in every message: in a worker's report the machine, sequence number, token and tasks; in answers of the state service, of the cloud and of workers; in the records that other versions of the program store; in a drain's specification.

All of them use exactjson now, also the fakes and the rehearsals' stand-ins, so that a name that this program misspells in a message is no longer understood by its own tests. Encoding is unchanged.

--- a/cmd/pebbletrail/controller_client.go
+++ b/cmd/pebbletrail/controller_client.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/spf13/cobra"
+
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 )
 
 // Timeouts and maximum response sizes of calls to a controller.
@@ -88,7 +90,7 @@
 	if response.StatusCode != http.StatusOK {
 		return responseError(node, response, raw)
 	}
-	if err := json.Unmarshal(raw, answer); err != nil {
+	if err := exactjson.Unmarshal(raw, answer); err != nil {
 		return fmt.Errorf("decode the response of %s to %s: %w", node, path, err)
 	}
 	return nil
@@ -106,7 +108,7 @@
 		Error   string `json:"error"`
 		Message string `json:"message"`
 	}
-	if json.Unmarshal(raw, &answer) == nil && answer.Error != "" {
+	if exactjson.Unmarshal(raw, &answer) == nil && answer.Error != "" {
 		return &refusalError{answer.Error}
 	}
 	if response.StatusCode == http.StatusNotFound && answer.Message != "" {
--- a/cmd/pebbletrail/explain.go
+++ b/cmd/pebbletrail/explain.go
@@ -1,13 +1,13 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
 
 	"github.com/spf13/cobra"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/intake"
 )
 
@@ -21,7 +21,7 @@
 				return err
 			}
 			var explanation intake.Explanation
-			if err := json.Unmarshal(raw, &explanation); err != nil {
+			if err := exactjson.Unmarshal(raw, &explanation); err != nil {
 				return fmt.Errorf("decode the explanation of job %s: %w", args[0], err)
 			}
 			_, err = io.WriteString(cmd.OutOrStdout(), formatExplanation(&explanation))
--- a/cmd/pebbletrail/status.go
+++ b/cmd/pebbletrail/status.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/spf13/cobra"
+
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 )
 
 func statusCommand() *cobra.Command {
@@ -27,7 +29,7 @@
 // writeIndented writes JSON with indentation.
 func writeIndented(out io.Writer, raw []byte) error {
 	var value any
-	if err := json.Unmarshal(raw, &value); err != nil {
+	if err := exactjson.Unmarshal(raw, &value); err != nil {
 		return fmt.Errorf("decode the status of the controller: %w", err)
 	}
 	encoder := json.NewEncoder(out)
--- a/internal/commit/generation.go
+++ b/internal/commit/generation.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 	"github.com/pebbletrail/pebbletrail/internal/wait"
@@ -65,7 +66,7 @@
 		return
 	}
 	var stored GenerationRecord
-	if found && json.Unmarshal(entry.Value, &stored) == nil && stored.Writer == c.cluster.Writer() {
+	if found && exactjson.Unmarshal(entry.Value, &stored) == nil && stored.Writer == c.cluster.Writer() {
 		c.generationRaised(stored.Generation, entry.Revision)
 		return
 	}
--- a/internal/election/layout.go
+++ b/internal/election/layout.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/quota"
 	"github.com/pebbletrail/pebbletrail/internal/record"
@@ -139,7 +140,7 @@
 // check returns ErrLayoutMismatch unless a stored layout has the configured number of shards.
 func (l *storeLayout) check(value json.RawMessage) error {
 	var stored layoutRecord
-	if err := json.Unmarshal(value, &stored); err != nil {
+	if err := exactjson.Unmarshal(value, &stored); err != nil {
 		return fmt.Errorf("%w: decode shard layout: %v", ErrLayoutMismatch, err)
 	}
 	if stored.Shards != l.shards {
--- a/internal/election/leader_record.go
+++ b/internal/election/leader_record.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"github.com/pebbletrail/pebbletrail/internal/commit"
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 )
 
@@ -19,7 +20,7 @@
 
 // decodeLeader decodes the value of a leader key.
 func decodeLeader(value json.RawMessage) (leader leaderRecord, err error) {
-	if err := json.Unmarshal(value, &leader); err != nil {
+	if err := exactjson.Unmarshal(value, &leader); err != nil {
 		return leaderRecord{}, fmt.Errorf("decode leader record: %w", err)
 	}
 	return leader, nil
@@ -27,7 +28,7 @@
 
 // decodeGeneration decodes the value of a generation key.
 func decodeGeneration(value json.RawMessage) (generation commit.GenerationRecord, err error) {
-	if err := json.Unmarshal(value, &generation); err != nil {
+	if err := exactjson.Unmarshal(value, &generation); err != nil {
 		return commit.GenerationRecord{}, fmt.Errorf("decode generation record: %w", err)
 	}
 	return generation, nil
--- a/internal/election/machine_ownership.go
+++ b/internal/election/machine_ownership.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
@@ -71,7 +72,7 @@
 		return 0, false
 	}
 	number, rest, _ := strings.Cut(rest, "/")
-	if json.Unmarshal([]byte(number), &shard) != nil || !strings.HasPrefix(rest, requestKeyPrefix) {
+	if exactjson.Unmarshal([]byte(number), &shard) != nil || !strings.HasPrefix(rest, requestKeyPrefix) {
 		return 0, false
 	}
 	return shard, true
@@ -81,7 +82,7 @@
 // unanswered, since the machines that it provisioned are not known.
 func decodeRequest(shard ids.Shard, value json.RawMessage) provisioningRequest {
 	var stored storedRequest
-	if json.Unmarshal(value, &stored) != nil {
+	if exactjson.Unmarshal(value, &stored) != nil {
 		return provisioningRequest{shard: shard}
 	}
 	return provisioningRequest{shard: shard, machines: stored.Hosts}
--- a/internal/election/watch_caches.go
+++ b/internal/election/watch_caches.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
 	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/state"
@@ -42,7 +42,7 @@
 		return nil
 	}
 	var types []placement.InstanceType
-	if json.Unmarshal(entry.Value, &types) != nil {
+	if exactjson.Unmarshal(entry.Value, &types) != nil {
 		return nil
 	}
 	return types
--- a/internal/fake/messages.go
+++ b/internal/fake/messages.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
+
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 )
 
 // errorMessage is the body of an error response.
@@ -22,7 +24,7 @@
 
 // readJSON decodes a JSON request body. If that fails, it sends an error response and returns false.
 func readJSON(w http.ResponseWriter, r *http.Request, message any) bool {
-	if err := json.NewDecoder(r.Body).Decode(message); err != nil {
+	if err := exactjson.NewDecoder(r.Body).Decode(message); err != nil {
 		writeJSON(w, http.StatusBadRequest, errorMessage{err.Error()})
 		return false
 	}
--- a/internal/fake/worker_commands.go
+++ b/internal/fake/worker_commands.go
@@ -1,13 +1,14 @@
 package fake
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 )
 
 // Verbs of commands.
@@ -143,7 +144,7 @@
 		return
 	}
 	var message commandMessage
-	if err := json.Unmarshal(body, &message); err != nil {
+	if err := exactjson.Unmarshal(body, &message); err != nil {
 		writeJSON(rw, http.StatusBadRequest, errorMessage{err.Error()})
 		return
 	}
--- a/internal/fake/worker_heartbeat.go
+++ b/internal/fake/worker_heartbeat.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 )
 
 // heartbeatPath is the path of heartbeat requests at the controllers.
@@ -132,7 +134,7 @@
 	}
 	defer func() { _ = response.Body.Close() }() // nothing is read from it afterwards
 	var answer heartbeatAnswer
-	_ = json.NewDecoder(response.Body).Decode(&answer) // invalid JSON is treated as an empty answer
+	_ = exactjson.NewDecoder(response.Body).Decode(&answer) // invalid JSON is treated as an empty answer
 	if response.StatusCode != http.StatusOK {
 		return w.followRedirect(answer.RedirectTo)
 	}
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -17,6 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/pebbletrail/pebbletrail/internal/clusterstate"
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/httpjson"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/measure"
@@ -128,7 +128,7 @@
 	if err := checkStatus(response); err != nil || answer == nil {
 		return err
 	}
-	if err := json.Unmarshal(response.Body, answer); err != nil {
+	if err := exactjson.Unmarshal(response.Body, answer); err != nil {
 		return fmt.Errorf("%w: decode response: %v", errOutcomeUnknown, err)
 	}
 	return nil
--- a/internal/fleet/requests.go
+++ b/internal/fleet/requests.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/placement"
 	"github.com/pebbletrail/pebbletrail/internal/state"
@@ -77,7 +78,7 @@
 func (p *Provisioner) LoadRequests(entries []state.Entry) {
 	for _, entry := range entries {
 		var request provisioningRequest
-		if err := json.Unmarshal(entry.Value, &request); err != nil || request.Name == "" {
+		if err := exactjson.Unmarshal(entry.Value, &request); err != nil || request.Name == "" {
 			continue
 		}
 		if request.Machines == nil {
--- a/internal/intake/parse_test.go
+++ b/internal/intake/parse_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"maps"
+	"net/http/httptest"
 	"reflect"
 	"strings"
 	"testing"
+
+	"github.com/pebbletrail/pebbletrail/internal/worker"
 )
 
 // requiredFields are the fields without which a submission is malformed.
@@ -69,3 +73,28 @@
 		}
 	}
 }
+
+// reportRecorder keeps the last report that it receives.
+type reportRecorder struct{ report *worker.Report }
+
+func (r *reportRecorder) Heartbeat(_ context.Context, report *worker.Report) (*worker.CommandBatch, int, worker.Redirect) {
+	r.report = report
+	return nil, 421, worker.Redirect{}
+}
+
+// Guards against a worker's report in which an unknown field replaces a known one, such as the sequence
+// number or a task's state, because its name differs in case only.
+func TestUnknownFieldOfReportChangesNothing(t *testing.T) {
+	const text = `{"host":"m1","stint":1,"tick":8,"baton":4,"warningS":null,"pieces":[{"piece":"job-1/0","try":2,"status":"running",
+		"Status":"ended","TRY":9}],"Host":"m2","Tick":99,"BATON":99,"warnings":5,"Pieces":[]}`
+	_, _, service := newJobService()
+	recorder := &reportRecorder{}
+	server := &Server{Jobs: service, Heartbeats: recorder, Ready: func() bool { return true }}
+	response := httptest.NewRecorder()
+	server.Handler().ServeHTTP(response, httptest.NewRequest("POST", "/agent/beat", strings.NewReader(text)))
+	want := &worker.Report{Machine: "m1", Incarnation: 1, Sequence: 8, FencingToken: 4,
+		Tasks: []worker.TaskStatus{{Task: "job-1/0", Attempt: 2, State: "running"}}}
+	if !reflect.DeepEqual(recorder.report, want) {
+		t.Errorf("code %d, report %+v, want %+v", response.Code, recorder.report, want)
+	}
+}
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/measure"
 	"github.com/pebbletrail/pebbletrail/internal/worker"
@@ -80,7 +80,7 @@
 func (s *Server) heartbeat(c echo.Context) error {
 	report := &worker.Report{}
 	body := io.LimitReader(c.Request().Body, maxHeartbeatBytes)
-	if err := json.NewDecoder(body).Decode(report); err != nil || report.Machine == "" {
+	if err := exactjson.NewDecoder(body).Decode(report); err != nil || report.Machine == "" {
 		return c.JSON(http.StatusBadRequest, errorBody("not a report"))
 	}
 	reply, status, redirect := s.Heartbeats.Heartbeat(c.Request().Context(), report)
--- a/internal/quota/request.go
+++ b/internal/quota/request.go
@@ -2,10 +2,10 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"slices"
 	"time"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
@@ -96,7 +96,7 @@
 	}
 	r.revisions[shard] = change.Revision
 	requests := Requests{}
-	if change.Put != "" && json.Unmarshal(change.Value, &requests) != nil {
+	if change.Put != "" && exactjson.Unmarshal(change.Value, &requests) != nil {
 		requests = Requests{}
 	}
 	r.teams[shard] = requests.Teams
--- a/internal/quota/stored.go
+++ b/internal/quota/stored.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
 
@@ -46,7 +47,7 @@
 // decodeLedger decodes a stored ledger and checks that it can be used with the given number of shards.
 func decodeLedger(raw json.RawMessage, shards int) (*Ledger, error) {
 	ledger := &Ledger{}
-	if err := json.Unmarshal(raw, ledger); err != nil {
+	if err := exactjson.Unmarshal(raw, ledger); err != nil {
 		return nil, err
 	}
 	if err := ledger.Check(shards); err != nil {
--- a/internal/record/cancellation.go
+++ b/internal/record/cancellation.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 )
 
@@ -45,7 +46,7 @@
 // DecodeCancellation decodes the encoding of Cancellation.Encode.
 func DecodeCancellation(raw json.RawMessage) (Cancellation, error) {
 	var list []Cancellation
-	if err := json.Unmarshal(raw, &list); err != nil {
+	if err := exactjson.Unmarshal(raw, &list); err != nil {
 		return Cancellation{}, err
 	}
 	if len(list) != 1 {
--- a/internal/record/encoding.go
+++ b/internal/record/encoding.go
@@ -3,13 +3,14 @@
 import (
 	"encoding/json"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 )
 
 // Decode decodes the record of a job without unfinished dependencies, or of a job that has ended.
 func Decode(raw json.RawMessage) (*Record, error) {
 	r := &Record{}
-	return r, json.Unmarshal(raw, r)
+	return r, exactjson.Unmarshal(raw, r)
 }
 
 // Encode encodes the record of a job without unfinished dependencies in at most limit bytes. If it does
--- a/internal/record/waiting.go
+++ b/internal/record/waiting.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 )
 
@@ -39,16 +40,16 @@
 // DecodeWaiting decodes both encodings of EncodeWaiting.
 func DecodeWaiting(raw json.RawMessage) (*Record, error) {
 	var parts []json.RawMessage
-	if err := json.Unmarshal(raw, &parts); err != nil {
+	if err := exactjson.Unmarshal(raw, &parts); err != nil {
 		return nil, err
 	}
 	var r *Record
-	if len(parts) == 0 || len(parts) > 2 || json.Unmarshal(parts[0], &r) != nil || r == nil {
+	if len(parts) == 0 || len(parts) > 2 || exactjson.Unmarshal(parts[0], &r) != nil || r == nil {
 		return nil, fmt.Errorf("malformed record of a job with unfinished dependencies: %.80q", raw)
 	}
 	if len(parts) == 2 {
 		var names string
-		if err := json.Unmarshal(parts[1], &names); err != nil {
+		if err := exactjson.Unmarshal(parts[1], &names); err != nil {
 			return nil, err
 		}
 		r.Spec.DependsOn = unpackNames(names)
--- a/internal/rehearsal/drain_client.go
+++ b/internal/rehearsal/drain_client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/rollout"
 )
@@ -83,7 +84,7 @@
 	if err != nil {
 		return fmt.Errorf("read status of controller %s: %w", controller.name, err)
 	}
-	if err := json.Unmarshal(raw, status); err != nil {
+	if err := exactjson.Unmarshal(raw, status); err != nil {
 		return fmt.Errorf("decode status of controller %s: %w", controller.name, err)
 	}
 	return nil
--- a/internal/rehearsal/drain_observer.go
+++ b/internal/rehearsal/drain_observer.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/record"
 	"github.com/pebbletrail/pebbletrail/internal/rollout"
 )
@@ -21,7 +22,7 @@
 		return
 	}
 	var stored rollout.Record
-	if !strings.HasPrefix(key, rollout.Prefix+"run/") || json.Unmarshal(value, &stored) != nil {
+	if !strings.HasPrefix(key, rollout.Prefix+"run/") || exactjson.Unmarshal(value, &stored) != nil {
 		return
 	}
 	r.mu.Lock()
--- a/internal/rehearsal/fake_cloud.go
+++ b/internal/rehearsal/fake_cloud.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 )
 
 // machineTypeJSON is the machine type that the fake cloud provisions; %d is its number of accelerators.
@@ -102,7 +104,7 @@
 // request it returns the names provisioned before.
 func (c *fakeCloud) handleProvision(w http.ResponseWriter, r *http.Request) {
 	var request provisioningRequest
-	if json.NewDecoder(r.Body).Decode(&request) != nil || request.Name == "" {
+	if exactjson.NewDecoder(r.Body).Decode(&request) != nil || request.Name == "" {
 		writeJSON(w, http.StatusBadRequest, struct{}{})
 		return
 	}
@@ -145,7 +147,7 @@
 // handleDelete deletes machines; unknown names are ignored.
 func (c *fakeCloud) handleDelete(w http.ResponseWriter, r *http.Request) {
 	var request machineNames
-	if json.NewDecoder(r.Body).Decode(&request) != nil {
+	if exactjson.NewDecoder(r.Body).Decode(&request) != nil {
 		writeJSON(w, http.StatusBadRequest, struct{}{})
 		return
 	}
--- a/internal/rehearsal/ledgers.go
+++ b/internal/rehearsal/ledgers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/quota"
 )
 
@@ -12,7 +13,7 @@
 func (c *localCluster) recordLedgerChange(key string, value json.RawMessage) {
 	team, found := strings.CutPrefix(key, quota.LedgerKey(""))
 	var ledger quota.Ledger
-	if !found || json.Unmarshal(value, &ledger) != nil {
+	if !found || exactjson.Unmarshal(value, &ledger) != nil {
 		return
 	}
 	c.record(Event{Kind: LedgerChanged, Team: team, Why: describeLedger(&ledger)})
--- a/internal/rehearsal/record.go
+++ b/internal/rehearsal/record.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/klauspost/compress/zstd"
+
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 )
 
 // Names of the files that a run writes to its folder.
@@ -102,7 +104,7 @@
 	}
 	defer plain.Close()
 	var events []Event
-	for decoder := json.NewDecoder(plain); ; {
+	for decoder := exactjson.NewDecoder(plain); ; {
 		var event Event
 		switch err := decoder.Decode(&event); {
 		case errors.Is(err, io.EOF):
--- a/internal/rollout/http.go
+++ b/internal/rollout/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -11,6 +10,8 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 )
 
 // HTTP paths of the operators' commands.
@@ -63,7 +64,7 @@
 // ErrInvalidSpec, like an invalid specification.
 func readSpec(c echo.Context) (*Spec, error) {
 	spec := &Spec{}
-	decoder := json.NewDecoder(io.LimitReader(c.Request().Body, maxBodyBytes))
+	decoder := exactjson.NewDecoder(io.LimitReader(c.Request().Body, maxBodyBytes))
 	if err := decoder.Decode(spec); err != nil {
 		return nil, errors.Join(ErrInvalidSpec, err)
 	}
--- a/internal/rollout/machineset_json.go
+++ b/internal/rollout/machineset_json.go
@@ -7,6 +7,8 @@
 	"slices"
 
 	"github.com/RoaringBitmap/roaring/v2"
+
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 )
 
 // storedSeries is the stored form of a nameSeries. Numbers holds the bitmap in roaring's portable format.
@@ -34,7 +36,7 @@
 // UnmarshalJSON decodes the output of MarshalJSON.
 func (m *MachineSet) UnmarshalJSON(text []byte) error {
 	var stored []storedSeries
-	if err := json.Unmarshal(text, &stored); err != nil {
+	if err := exactjson.Unmarshal(text, &stored); err != nil {
 		return err
 	}
 	m.series = nil
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 )
 
@@ -47,14 +48,14 @@
 	var version struct {
 		Version int `json:"version"`
 	}
-	if err := json.Unmarshal(raw, &version); err != nil {
+	if err := exactjson.Unmarshal(raw, &version); err != nil {
 		return nil, err
 	}
 	if version.Version > storedVersion {
 		return nil, fmt.Errorf("%w: format version %d, latest supported version %d", ErrNewerVersion, version.Version, storedVersion)
 	}
 	record := &Record{}
-	if err := json.Unmarshal(raw, record); err != nil {
+	if err := exactjson.Unmarshal(raw, record); err != nil {
 		return nil, err
 	}
 	if _, known := stateTransitions[record.State]; !known && record.State != Ended {
--- a/internal/rollout/snapshot.go
+++ b/internal/rollout/snapshot.go
@@ -2,12 +2,12 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
 	"strings"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/state"
 )
@@ -67,7 +67,7 @@
 
 func (s *rolloutSnapshot) addIndex(entry state.Entry) {
 	s.indexRevision = entry.Revision
-	if err := json.Unmarshal(entry.Value, &s.index); err != nil {
+	if err := exactjson.Unmarshal(entry.Value, &s.index); err != nil {
 		s.unreadable[indexKey] = err.Error()
 	}
 }
@@ -97,7 +97,7 @@
 		s.orphanedParts = append(s.orphanedParts, entry)
 		return
 	}
-	if err := json.Unmarshal(entry.Value, &rollout.waiting[part]); err != nil {
+	if err := exactjson.Unmarshal(entry.Value, &rollout.waiting[part]); err != nil {
 		s.markUnreadable(name, err.Error())
 		return
 	}
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -16,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/httpjson"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/measure"
@@ -168,7 +168,7 @@
 		c.recordSuccess()
 	}
 	if result != nil && response.Status != http.StatusGone {
-		if err := json.Unmarshal(response.Body, result); err != nil && response.Status == http.StatusOK {
+		if err := exactjson.Unmarshal(response.Body, result); err != nil && response.Status == http.StatusOK {
 			return 0, fmt.Errorf("%w: decode response: %v", ErrOutcomeUnknown, err)
 		}
 	}
--- a/internal/worker/commander.go
+++ b/internal/worker/commander.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pebbletrail/pebbletrail/internal/exactjson"
 	"github.com/pebbletrail/pebbletrail/internal/ids"
 	"github.com/pebbletrail/pebbletrail/internal/measure"
 )
@@ -134,7 +135,7 @@
 		_ = response.Body.Close() // the body is not needed any more
 	}()
 	report := &Report{}
-	if err := json.NewDecoder(response.Body).Decode(report); err != nil {
+	if err := exactjson.NewDecoder(response.Body).Decode(report); err != nil {
 		return nil, err
 	}
 	return report, nil
