--- a/internal/commit/lookups.go
+++ b/internal/commit/lookups.go
@@ -90,7 +90,7 @@
 // lookUpPage reads the page of final records that begins at the first wanted one, and returns how many of
 // the wanted records lie within the page.
 func (r *finalRecordReader) lookUpPage(ctx context.Context, wanted []ids.Job, now time.Time) (covered int, ok bool) {
-	entries, more, _, err := r.store.List(ctx, record.FinalRecordPrefix, keyBefore(record.FinalRecordKey(wanted[0])), LookupPageSize, state.Normal)
+	entries, more, _, err := r.store.List(ctx, record.FinalRecordPrefix, record.BeforeFinalRecord(wanted[0]), LookupPageSize, state.Normal)
 	if err != nil {
 		return 0, false
 	}
@@ -110,13 +110,6 @@
 	return covered, true
 }
 
-// keyBefore returns a key that sorts directly before the given job key: no other job's key lies between
-// them, because job keys end in digits.
-func keyBefore(key string) string {
-	last := len(key) - 1
-	return key[:last] + string(key[last]-1) + "~"
-}
-
 // applyLookup records the result of looking up an ended job.
 func (r *finalRecordReader) applyLookup(ctx context.Context, id ids.Job, entry state.Entry, found bool, now time.Time) {
 	if !found {
--- a/internal/intake/dependency_reader.go
+++ b/internal/intake/dependency_reader.go
@@ -147,7 +147,7 @@
 	}
 	slices.Sort(missing)
 	for len(missing) > 0 {
-		after := keyBefore(record.FinalRecordKey(missing[0]))
+		after := record.BeforeFinalRecord(missing[0])
 		page, more, _, err := r.records.store.List(ctx, record.FinalRecordPrefix, after, prefetchPageSize, r.priority)
 		if err != nil {
 			return wrapUnavailable(err)
@@ -205,10 +205,3 @@
 	}
 	return remaining, nil
 }
-
-// keyBefore returns a string that sorts before a job's key and after the keys of all jobs that precede it:
-// the last character is decremented, and a character that sorts after all digits is appended.
-func keyBefore(key string) string {
-	last := len(key) - 1
-	return key[:last] + string(key[last]-1) + "~"
-}
--- a/internal/intake/dependency_reader_test.go
+++ b/internal/intake/dependency_reader_test.go
@@ -92,7 +92,7 @@
 		for i := range 1500 {
 			id := ids.Job(fmt.Sprintf("job-%d", i))
 			cluster.storeJob(id, record.Done)
-			if i%10 == 0 { // names that end in 0, the lowest digit, test keyBefore
+			if i%10 == 0 { // names that end in 0, the lowest digit, test record.BeforeFinalRecord
 				names = append(names, string(id))
 			}
 		}
--- a/internal/record/keys.go
+++ b/internal/record/keys.go
@@ -22,6 +22,15 @@
 // FinalRecordKey returns the key of a job's final record.
 func FinalRecordKey(job ids.Job) string { return FinalRecordPrefix + string(job) }
 
+// BeforeFinalRecord returns a string that sorts before the key of a job's final record and after the final
+// records of all jobs that precede it, so that a page of final records after it begins with the job's. Job
+// keys end in digits: the last one is decremented, and a character that sorts after all digits is appended.
+func BeforeFinalRecord(job ids.Job) string {
+	key := FinalRecordKey(job)
+	last := len(key) - 1
+	return key[:last] + string(key[last]-1) + "~"
+}
+
 // WaitKey returns the key of the record of a job with unfinished dependencies.
 func WaitKey(job ids.Job) string { return WaitPrefix + string(job) }
 
