--- a/internal/rollout/service.go
+++ b/internal/rollout/service.go
@@ -68,11 +68,7 @@
 	if err := spec.Check(s.Installation()); err != nil {
 		return nil, err
 	}
-	for range maxAttempts {
-		snapshot, err := s.readSnapshot(ctx)
-		if err != nil {
-			return nil, err
-		}
+	status, err := s.attempt(ctx, func(snapshot *rolloutSnapshot) (*Status, error) {
 		existing, err := snapshot.findBySpec(spec)
 		if err != nil {
 			return nil, err
@@ -80,12 +76,27 @@
 		if existing != nil {
 			return statusOf(existing, nil), nil
 		}
-		// Whether the rollout is stored is determined by the next read.
-		if err := s.create(ctx, snapshot, spec); err != nil {
+		return nil, s.create(ctx, snapshot, spec) // the next read shows whether the rollout is stored
+	})
+	if status == nil && err == nil {
+		err = fmt.Errorf("%w: the start conflicted with concurrent changes of rollouts; retry", ErrUnavailable)
+	}
+	return status, err
+}
+
+// attempt calls change with a new snapshot until it returns a status or an error, but at most maxAttempts
+// times. It returns neither if every attempt conflicted.
+func (s *Service) attempt(ctx context.Context, change func(*rolloutSnapshot) (*Status, error)) (*Status, error) {
+	for range maxAttempts {
+		snapshot, err := s.readSnapshot(ctx)
+		if err != nil {
 			return nil, err
 		}
+		if status, err := change(snapshot); status != nil || err != nil {
+			return status, err
+		}
 	}
-	return nil, fmt.Errorf("%w: the start conflicted with concurrent changes of rollouts; retry", ErrUnavailable)
+	return nil, nil
 }
 
 // create plans a rollout and tries to store it. A nil error does not imply that the rollout was stored.
@@ -153,36 +164,37 @@
 // Execute executes a command on a stored rollout. It changes nothing if the rollout already has the
 // resulting state.
 func (s *Service) Execute(ctx context.Context, name Name, command Command) (*Status, error) {
-	for range maxAttempts {
-		snapshot, err := s.readSnapshot(ctx)
-		if err != nil {
-			return nil, err
-		}
-		rollout, err := snapshot.find(name)
-		if err != nil {
-			return nil, err
-		}
-		record := rollout.record.clone()
-		changed, err := record.apply(command, ids.TimestampOf(time.Now()))
-		if err != nil || !changed {
-			return statusOf(rollout, nil), err
-		}
-		record.setWriter(s.Writer)
-		txn := &transaction{limits: s.Limits}
-		txn.require(recordKey(name), rollout.revision)
-		if err := txn.put(recordKey(name), record); err != nil {
-			return nil, err
-		}
-		stored, err := s.commit(ctx, txn)
-		if err != nil {
-			return nil, err
-		}
-		if stored {
-			rollout.record = record
-			return statusOf(rollout, nil), nil
-		}
+	status, err := s.attempt(ctx, func(snapshot *rolloutSnapshot) (*Status, error) {
+		return s.executeOnce(ctx, snapshot, name, command)
+	})
+	if status == nil && err == nil {
+		err = fmt.Errorf("%w: the command conflicted with concurrent changes of the rollout; retry", ErrUnavailable)
+	}
+	return status, err
+}
+
+// executeOnce tries to store the result of a command. It returns no status if that conflicted.
+func (s *Service) executeOnce(ctx context.Context, snapshot *rolloutSnapshot, name Name, command Command) (*Status, error) {
+	rollout, err := snapshot.find(name)
+	if err != nil {
+		return nil, err
+	}
+	record := rollout.record.clone()
+	changed, err := record.apply(command, ids.TimestampOf(time.Now()))
+	if err != nil || !changed {
+		return statusOf(rollout, nil), err
+	}
+	record.setWriter(s.Writer)
+	txn := &transaction{limits: s.Limits}
+	txn.require(recordKey(name), rollout.revision)
+	if err := txn.put(recordKey(name), record); err != nil {
+		return nil, err
+	}
+	if stored, err := s.commit(ctx, txn); err != nil || !stored {
+		return nil, err
 	}
-	return nil, fmt.Errorf("%w: the command conflicted with concurrent changes of the rollout; retry", ErrUnavailable)
+	rollout.record = record
+	return statusOf(rollout, nil), nil
 }
 
 // Status returns the state of a rollout and what its machines wait for.
