--- a/internal/election/campaign.go
+++ b/internal/election/campaign.go
@@ -23,15 +23,17 @@
 
 // acquiredLeadership is the result of a successful campaign.
 type acquiredLeadership struct {
-	previous   commit.GenerationRecord // zero if the shard had no leader before
-	tokens     ids.TokenRange
-	generation ids.Generation // the last of the tokens
-	writer     string         // identifies the writes of this term
-	lease      ids.Lease
-	grantedAt  time.Time    // when the grant of the lease was requested
-	revision   ids.Revision // of the stored generation
+	previous  commit.GenerationRecord // zero if the shard had no leader before
+	tokens    ids.TokenRange
+	writer    string // identifies the writes of this term
+	lease     ids.Lease
+	grantedAt time.Time    // when the grant of the lease was requested
+	revision  ids.Revision // of the stored generation
 }
 
+// generation returns the generation of the new term: the last of its tokens.
+func (a *acquiredLeadership) generation() ids.Generation { return a.tokens.Last }
+
 // campaign tries to become the shard's leader: one transaction writes the leader key, attached to a new
 // lease, and increments the generation. If the transaction fails, the lease is left to expire.
 func (c *candidate) campaign(ctx context.Context) (*acquiredLeadership, error) {
@@ -49,12 +51,11 @@
 	}
 	tokens := ids.ReserveTokens(previous.Generation)
 	acquired := &acquiredLeadership{
-		previous:   previous,
-		tokens:     tokens,
-		generation: tokens.Last,
-		writer:     fmt.Sprintf("%s/%d", c.incarnation, tokens.Last),
-		lease:      lease,
-		grantedAt:  grantedAt,
+		previous:  previous,
+		tokens:    tokens,
+		writer:    fmt.Sprintf("%s/%d", c.incarnation, tokens.Last),
+		lease:     lease,
+		grantedAt: grantedAt,
 	}
 	if acquired.revision, err = c.commit(ctx, acquired, previousRevision); err != nil {
 		return nil, err
@@ -105,11 +106,11 @@
 // commit stores the new leader and generation and returns the generation's revision. It fails if there is
 // a leader or if the generation has changed since it was read with revision previous.
 func (c *candidate) commit(ctx context.Context, acquired *acquiredLeadership, previous ids.Revision) (ids.Revision, error) {
-	leader, err := json.Marshal(leaderRecord{Node: c.settings.HostName, Writer: acquired.writer, Lease: acquired.lease, Generation: acquired.generation})
+	leader, err := json.Marshal(leaderRecord{Node: c.settings.HostName, Writer: acquired.writer, Lease: acquired.lease, Generation: acquired.generation()})
 	if err != nil {
 		return 0, fmt.Errorf("encode leader record: %w", err)
 	}
-	generation, err := json.Marshal(commit.GenerationRecord{Generation: acquired.generation, Node: c.settings.HostName, Writer: acquired.writer})
+	generation, err := json.Marshal(commit.GenerationRecord{Generation: acquired.generation(), Node: c.settings.HostName, Writer: acquired.writer})
 	if err != nil {
 		return 0, fmt.Errorf("encode generation record: %w", err)
 	}
@@ -126,7 +127,7 @@
 		}
 	}
 	if err != nil {
-		return 0, fmt.Errorf("commit leader and generation %d: %w", acquired.generation, err)
+		return 0, fmt.Errorf("commit leader and generation %d: %w", acquired.generation(), err)
 	}
 	return ids.Revision(storeRevision), nil
 }
--- a/internal/election/term.go
+++ b/internal/election/term.go
@@ -63,7 +63,7 @@
 // newTerm returns a term with its components connected, but starts none of them.
 func (e *Elector) newTerm(acquired *acquiredLeadership, now time.Time) *Term {
 	term := &Term{
-		Generation: acquired.generation,
+		Generation: acquired.generation(),
 		Cluster:    e.newClusterState(acquired, now),
 		lease:      acquired.lease,
 		beganAt:    now,
