--- a/internal/commit/lookups.go
+++ b/internal/commit/lookups.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -29,6 +32,9 @@
 	LookupReadsPerPass = 20
 )
 
+// errNotFinal means that the status in a final record is not final.
+var errNotFinal = errors.New("status is not final")
+
 // Lookups provides the operations on the cluster state that lookups of ended jobs need. Its methods lock
 // that state.
 type Lookups interface {
@@ -118,13 +124,26 @@
 		}
 		return
 	}
-	stored, err := record.Decode(entry.Value)
-	if err != nil || !stored.Status.IsTerminal() {
+	status, err := decodeFinalStatus(entry.Value)
+	if err != nil {
 		slog.Error("final record of a job is unreadable or its status is not final, retrying later", "key", entry.Key, "err", err)
 		r.cluster.RetryLookup(id, now)
 		return
 	}
-	r.cluster.LookupFound(id, stored.Status)
+	r.cluster.LookupFound(id, status)
+}
+
+// decodeFinalStatus returns the status in a final record, or an error if the record is unreadable or its
+// status is not final.
+func decodeFinalStatus(value json.RawMessage) (record.Status, error) {
+	stored, err := record.Decode(value)
+	if err != nil {
+		return "", err
+	}
+	if !stored.Status.IsTerminal() {
+		return "", fmt.Errorf("%w: %q", errNotFinal, stored.Status)
+	}
+	return stored.Status, nil
 }
 
 // findLive looks for a live record that this leader wrote but does not know of.
