Answers of workers are read to their end, so that their connections are kept

A decoder that stops after the JSON value leaves the line break at the end unread if its buffer ends there, and the transport then closes the connection. The body is read whole now.

--- a/internal/worker/commander.go
+++ b/internal/worker/commander.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -129,13 +130,18 @@
 	return report
 }
 
-// readReport decodes the body of a response of any status as a report, and closes the body.
+// readReport decodes the body of a response of any status as a report, and closes the body. The body is
+// read to its end, because a connection with unread data can't be used again.
 func readReport(response *http.Response) (*Report, error) {
 	defer func() {
 		_ = response.Body.Close() // the body is not needed any more
 	}()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, err
+	}
 	report := &Report{}
-	if err := exactjson.NewDecoder(response.Body).Decode(report); err != nil {
+	if err := exactjson.Unmarshal(raw, report); err != nil {
 		return nil, err
 	}
 	return report, nil
--- a/internal/worker/commander_test.go
+++ b/internal/worker/commander_test.go
@@ -2,7 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,3 +62,47 @@
 		}
 	})
 }
+
+// Guards against a connection to a worker that is closed after one answer, which costs a socket and a
+// handshake: a decoder that stops before the line break at the end leaves data unread.
+func TestConnectionIsKeptWhateverTheLengthOfTheReport(t *testing.T) {
+	var connections atomic.Int32
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		padding := r.Header.Get("Padding")
+		body := fmt.Sprintf("{\"host\":\"m\",\"yard\":\"%s\"}\n", padding)
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		if _, err := io.WriteString(w, body); err != nil {
+			t.Error(err)
+		}
+	}))
+	server.Config.ConnState = func(_ net.Conn, connState http.ConnState) {
+		if connState == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	padding := &paddingTransport{next: server.Client().Transport}
+	commander := &Commander{HTTP: &http.Client{Transport: padding}, Timeout: time.Second}
+	const maxPadding = 2048 // bytes
+	for padding.length = range maxPadding {
+		report := commander.FetchReport(t.Context(), server.Listener.Addr().String(), 30*time.Second)
+		if report == nil || len(report.Zone) != padding.length {
+			t.Fatalf("padding of %d bytes: report %+v", padding.length, report)
+		}
+	}
+	if n := connections.Load(); n != 1 {
+		t.Errorf("%d connections for %d requests, want 1", n, maxPadding)
+	}
+}
+
+// paddingTransport asks for a report with a padding of the given length.
+type paddingTransport struct {
+	next   http.RoundTripper
+	length int // bytes
+}
+
+func (p *paddingTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	request.Header.Set("Padding", strings.Repeat("x", p.length))
+	return p.next.RoundTrip(request)
+}
