A listing of keys that are long unchanged succeeds while other keys change

A store with over a thousand provisioning requests of several shards, or of idle allowances, beside a stream of jobs would have had controllers that can't load their records.

If no entry changed, all of them existed at the end of the first listing; if one did, its change is new and proves the next watch. TestListAllOfUnchangedKeysSucceedsWhileOthers- Change fails before.

--- a/internal/state/listing.go
+++ b/internal/state/listing.go
@@ -15,6 +15,9 @@
 // listPageSize is the largest number of entries requested by one call.
 const listPageSize = 1000
 
+// maxListings is the largest number of listings that ListAll makes before it fails.
+const maxListings = 3
+
 // errIncompleteChanges means that a response may lack changes, because an outage has begun or the store
 // rejects this node.
 var errIncompleteChanges = fmt.Errorf("%w: watch response may lack changes", ErrRefused)
@@ -31,19 +34,36 @@
 // key that moves while the pages are read is returned once. A watch from that revision misses no change.
 // The entries are sorted by key. It returns an error if the changes between the pages can't be read.
 func (c *Client) ListAll(ctx context.Context, prefix string, priority Priority) ([]Entry, ids.StoreRevision, error) {
-	listed, err := c.listPages(ctx, prefix, priority)
-	if err != nil {
-		return nil, 0, err
+	var previous listing
+	for range maxListings {
+		listed, err := c.listPages(ctx, prefix, priority)
+		if err != nil {
+			return nil, 0, err
+		}
+		if previous.pages > 0 && listed.hasSameEntries(&previous) {
+			// None of the entries changed between their reads, so all of them existed at the end of
+			// the previous listing.
+			return listed.entries, previous.lastRevision, nil
+		}
+		entries, storeRevision, err := c.complete(ctx, prefix, &listed, priority)
+		if !errors.Is(err, errCompacted) {
+			return entries, storeRevision, err
+		}
+		previous = listed
 	}
+	return nil, 0, fmt.Errorf("%w: changes between the pages of %d listings are compacted", ErrRefused, maxListings)
+}
+
+// complete returns the entries of a listing after the changes that were made between its pages, and the
+// store revision of the result. It returns errCompacted if the store no longer keeps the newest known
+// change below the prefix, which proves that a response contains all changes.
+func (c *Client) complete(ctx context.Context, prefix string, listed *listing, priority Priority) ([]Entry, ids.StoreRevision, error) {
 	if listed.firstRevision == listed.lastRevision {
 		return listed.entries, listed.firstRevision, nil
 	}
 	changes, storeRevision, err := c.changesSince(ctx, prefix, listed.firstRevision, listed.lastRevision, newestEntry(listed.entries), priority)
 	slog.Debug("store changed while its keys were listed", "prefix", prefix, "pages", listed.pages,
 		"first", listed.firstRevision, "last", listed.lastRevision, "changes", len(changes), "err", err)
-	if errors.Is(err, errCompacted) {
-		return nil, 0, fmt.Errorf("%w: changes between two pages of a listing are compacted", ErrRefused)
-	}
 	if err != nil {
 		return nil, 0, err
 	}
@@ -82,6 +102,13 @@
 	return sortedByKey(byKey)
 }
 
+// hasSameEntries reports whether two listings contain the same keys with the same revisions.
+func (l *listing) hasSameEntries(other *listing) bool {
+	return slices.EqualFunc(l.entries, other.entries, func(x, y Entry) bool {
+		return x.Key == y.Key && x.Revision == y.Revision
+	})
+}
+
 // changesSince returns all changes below a prefix after a store revision, up to the store revision that it
 // returns, which is at least upTo. A plain read must have returned upTo before the call. newestKnown is the
 // revision of the newest known change below the prefix, 0 if there is none.
--- a/internal/state/listing_test.go
+++ b/internal/state/listing_test.go
@@ -188,3 +188,35 @@
 		})
 	}
 }
+
+// Guards against a controller that can't read its records while other keys change: the newest entry below
+// the prefix is older than all changes that the store keeps, so that no watch proves to be complete.
+func TestListAllOfUnchangedKeysSucceedsWhileOthersChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPagedStore(t)
+		s.fill()
+		s.commit(put("j/z"))
+		s.store.SetHistoryLimit(1)
+		s.betweenPage = func() {
+			s.commit(put("other/1"))
+			s.commit(put("other/1"))
+		}
+		entries, _, err := s.client.ListAll(t.Context(), "j/", Normal)
+		if err != nil || len(entries) != listPageSize+1 {
+			t.Errorf("%d entries, error %v, want %d", len(entries), err, listPageSize+1)
+		}
+		// A key that moves during the first listing is found by the next ones.
+		moves := 0
+		s.betweenPage = func() {
+			if moves++; moves == 1 {
+				s.commit(Op{Remove: "j/z"}, put("j/a"))
+			}
+			s.commit(put("other/1"))
+			s.commit(put("other/1"))
+		}
+		entries, _, err = s.client.ListAll(t.Context(), "j/", Normal)
+		if err != nil || len(entries) != listPageSize+1 || entries[0].Key != "j/a" {
+			t.Errorf("after a move: %d entries, error %v, want %d from j/a", len(entries), err, listPageSize+1)
+		}
+	})
+}
